--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdlib>
+
+auto main() -> int
+{
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/http/eventloop.cpp
@@ -0,0 +1,116 @@
+#include "eventloop.h"
+
+#include <event2/event.h>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+auto toTimeval(std::chrono::microseconds duration) -> timeval
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    return { seconds.count(), (duration - seconds).count() };
+}
+
+auto runPosted(evutil_socket_t /*socket*/, short /*events*/, void* argument) -> void
+{
+    const std::unique_ptr<std::function<void()>> task(static_cast<std::function<void()>*>(argument));
+    (*task)();
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+    : eventBase(event_base_new())
+{
+}
+
+EventLoop::~EventLoop()
+{
+    event_base_free(this->eventBase);
+}
+
+auto EventLoop::run() -> void
+{
+    event_base_loop(this->eventBase, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+auto EventLoop::runOnce() -> void
+{
+    event_base_loop(this->eventBase, EVLOOP_NONBLOCK);
+}
+
+auto EventLoop::stop() -> void
+{
+    event_base_loopbreak(this->eventBase);
+}
+
+auto EventLoop::post(std::function<void()> task) -> void
+{
+    auto owned = std::make_unique<std::function<void()>>(std::move(task));
+    const timeval immediately { 0, 0 };
+    if (event_base_once(this->eventBase, -1, EV_TIMEOUT, runPosted, owned.get(), &immediately) == 0)
+        static_cast<void>(owned.release());
+}
+
+Timer::Timer(EventLoop& loop, std::function<void()> task)
+    : task(std::move(task))
+    , timerEvent(evtimer_new(
+          loop.base(), [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire(); }, this))
+{
+}
+
+Timer::~Timer()
+{
+    event_free(this->timerEvent);
+}
+
+auto Timer::start(std::chrono::microseconds delay) -> void
+{
+    this->period = std::chrono::microseconds(0);
+    const auto wait = toTimeval(delay);
+    evtimer_add(this->timerEvent, &wait);
+}
+
+auto Timer::startRepeating(std::chrono::microseconds every) -> void
+{
+    this->period = every;
+    const auto wait = toTimeval(every);
+    evtimer_add(this->timerEvent, &wait);
+}
+
+auto Timer::stop() -> void
+{
+    this->period = std::chrono::microseconds(0);
+    evtimer_del(this->timerEvent);
+}
+
+auto Timer::isRunning() const -> bool
+{
+    return evtimer_pending(this->timerEvent, nullptr) != 0;
+}
+
+auto Timer::fire() -> void
+{
+    if (this->period.count() > 0) {
+        const auto wait = toTimeval(this->period);
+        evtimer_add(this->timerEvent, &wait);
+    }
+    this->task();
+}
+
+SignalWatcher::SignalWatcher(EventLoop& loop, int signalNumber, std::function<void()> task)
+    : task(std::move(task))
+    , signalEvent(evsignal_new(
+          loop.base(), signalNumber, [](evutil_socket_t, short, void* self) { static_cast<SignalWatcher*>(self)->task(); }, this))
+{
+    evsignal_add(this->signalEvent, nullptr);
+}
+
+SignalWatcher::~SignalWatcher()
+{
+    event_free(this->signalEvent);
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/http/eventloop.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+struct event;
+struct event_base;
+
+namespace Primrosefork {
+
+/**
+ * The one loop of a process, on its one thread.
+ */
+class EventLoop {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    auto operator=(const EventLoop&) -> EventLoop& = delete;
+
+    /** Runs until stop() is called. */
+    auto run() -> void;
+
+    /** Runs what is ready now and waits for nothing. */
+    auto runOnce() -> void;
+
+    auto stop() -> void;
+
+    /** Calls \a task from the loop, after the present callback has returned. */
+    auto post(std::function<void()> task) -> void;
+
+    [[nodiscard]] auto base() const -> event_base* { return this->eventBase; }
+
+    /** Returns the present moment. */
+    [[nodiscard]] static auto now() -> TimePoint { return std::chrono::steady_clock::now(); }
+
+private:
+    event_base* eventBase;
+};
+
+/**
+ * Calls a task once or again and again after a delay.
+ */
+class Timer {
+public:
+    Timer(EventLoop&, std::function<void()> task);
+    ~Timer();
+    Timer(const Timer&) = delete;
+    auto operator=(const Timer&) -> Timer& = delete;
+
+    /** Calls the task once, \a delay from now; an earlier start is forgotten. */
+    auto start(std::chrono::microseconds delay) -> void;
+
+    /** Calls the task every \a period, first after one period. */
+    auto startRepeating(std::chrono::microseconds period) -> void;
+
+    auto stop() -> void;
+    [[nodiscard]] auto isRunning() const -> bool;
+
+private:
+    auto fire() -> void;
+
+    std::function<void()> task;
+    std::chrono::microseconds period { 0 };
+    event* timerEvent;
+};
+
+/**
+ * Calls a task when the process receives a signal.
+ */
+class SignalWatcher {
+public:
+    SignalWatcher(EventLoop&, int signalNumber, std::function<void()> task);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher&) = delete;
+    auto operator=(const SignalWatcher&) -> SignalWatcher& = delete;
+
+private:
+    std::function<void()> task;
+    event* signalEvent;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,357 @@
+#include "httpclient.h"
+
+#include "errors.h"
+#include "eventloop.h"
+
+#include <algorithm>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::size_t maxIdlePerServer = 64;
+constexpr int noLibraryTimeout = 24 * 3600; ///< Seconds; each call has timers of its own.
+
+auto commandOf(const std::string& method) -> evhttp_cmd_type
+{
+    if (method == "POST")
+        return EVHTTP_REQ_POST;
+    if (method == "PUT")
+        return EVHTTP_REQ_PUT;
+    if (method == "DELETE")
+        return EVHTTP_REQ_DELETE;
+    return EVHTTP_REQ_GET;
+}
+
+auto readHeaders(evhttp_request* request) -> HttpHeaders
+{
+    HttpHeaders headers;
+    for (const auto* header = evhttp_request_get_input_headers(request)->tqh_first; header; header = header->next.tqe_next)
+        headers.add(header->key, header->value);
+    return headers;
+}
+
+} // namespace
+
+/**
+ * The call that HttpClient hands out, on one evhttp connection.
+ */
+class HttpClientCall : public HttpCall {
+public:
+    HttpClientCall(HttpClient& client, Address server, const HttpCallOptions& options, HttpCallHandlers handlers)
+        : client(client)
+        , server(std::move(server))
+        , options(options)
+        , handlers(std::move(handlers))
+        , timer(client.loop, [this] { this->timedOut(); })
+    {
+    }
+
+    auto begin(const HttpRequest& message) -> void;
+    auto cancel() -> void override;
+    auto pause() -> void override;
+    auto resume() -> void override;
+    [[nodiscard]] auto hasSentBytes() const -> bool override { return this->sentBytes > 0; }
+
+private:
+    auto watchOutput() -> void;
+    auto headersReceived(evhttp_request*) -> void;
+    auto piecesReceived(evhttp_request*) -> void;
+    auto completed(evhttp_request*) -> void;
+    auto timedOut() -> void;
+    auto fail(Error) -> void;
+    auto release(bool reusable) -> void;
+    auto finish(std::error_code) -> void;
+
+    HttpClient& client;
+    Address server;
+    HttpCallOptions options;
+    HttpCallHandlers handlers;
+    Timer timer;
+    evhttp_connection* connection = nullptr;
+    evhttp_request* handle = nullptr;
+    evbuffer_cb_entry* outputWatch = nullptr;
+    std::shared_ptr<HttpClientCall> self; ///< Keeps the call until it is done.
+    std::size_t sentBytes = 0;
+    std::size_t receivedBytes = 0;
+    bool hasHeaders = false;
+    bool isPaused = false;
+    bool isFailing = false;
+    bool isDone = false;
+};
+
+auto HttpClientCall::begin(const HttpRequest& message) -> void
+{
+    this->self = std::static_pointer_cast<HttpClientCall>(this->shared_from_this());
+    this->connection = this->client.takeConnection(this->server, this->options.usesFreshConnection);
+    this->handle = evhttp_request_new(
+        [](evhttp_request* request, void* call) { static_cast<HttpClientCall*>(call)->completed(request); }, this);
+    evhttp_request_set_header_cb(this->handle, [](evhttp_request* request, void* call) {
+        static_cast<HttpClientCall*>(call)->headersReceived(request);
+        return 0;
+    });
+    evhttp_request_set_chunked_cb(this->handle,
+        [](evhttp_request* request, void* call) { static_cast<HttpClientCall*>(call)->piecesReceived(request); });
+    evhttp_request_set_error_cb(this->handle, [](evhttp_request_error, void* call) {
+        static_cast<HttpClientCall*>(call)->isFailing = true;
+    });
+
+    auto* output = evhttp_request_get_output_headers(this->handle);
+    for (const auto& header : message.headers)
+        evhttp_add_header(output, header.name.c_str(), header.value.c_str());
+    if (!message.headers.get("Host"))
+        evhttp_add_header(output, "Host", this->server.toString().c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(this->handle), message.body.data(), message.body.size());
+
+    this->watchOutput();
+    this->timer.start(std::min(this->options.connectTimeout, this->options.firstByteTimeout));
+    if (evhttp_make_request(this->connection, this->handle, commandOf(message.method), message.target().c_str()) != 0) {
+        this->handle = nullptr;
+        this->client.loop.post([call = this->self] { call->fail(Error::ConnectionFailed); });
+    }
+}
+
+auto HttpClientCall::watchOutput() -> void
+{
+    auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
+    this->outputWatch = evbuffer_add_cb(
+        output,
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            auto* call = static_cast<HttpClientCall*>(argument);
+            if (call->isFailing || info->n_deleted == 0)
+                return;
+            if (call->sentBytes == 0)
+                call->timer.start(call->options.firstByteTimeout);
+            call->sentBytes += info->n_deleted;
+        },
+        this);
+}
+
+auto HttpClientCall::headersReceived(evhttp_request* request) -> void
+{
+    if (this->isDone)
+        return;
+    this->hasHeaders = true;
+    this->timer.start(this->options.idleTimeout);
+    if (this->handlers.onHeaders)
+        this->handlers.onHeaders(evhttp_request_get_response_code(request), readHeaders(request));
+}
+
+auto HttpClientCall::piecesReceived(evhttp_request* request) -> void
+{
+    auto* buffer = evhttp_request_get_input_buffer(request);
+    const auto size = evbuffer_get_length(buffer);
+    if (this->isDone || size == 0)
+        return;
+    this->receivedBytes += size;
+    if (this->options.answerBytes > 0 && this->receivedBytes > this->options.answerBytes) {
+        this->client.loop.post([call = this->self] { call->fail(Error::TooLarge); });
+        return;
+    }
+    if (!this->isPaused)
+        this->timer.start(this->options.idleTimeout);
+    const std::string_view piece(reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1)), size);
+    if (this->handlers.onPiece)
+        this->handlers.onPiece(piece);
+}
+
+auto HttpClientCall::completed(evhttp_request* request) -> void
+{
+    this->handle = nullptr;
+    if (this->isDone)
+        return;
+    const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) != 0;
+    if (!isWhole) {
+        this->release(false);
+        return this->finish(this->hasSentBytes() ? Error::ConnectionLost : Error::ConnectionFailed);
+    }
+    const auto* closing = evhttp_find_header(evhttp_request_get_input_headers(request), "Connection");
+    this->release(!closing || strcasecmp(closing, "close") != 0);
+    this->finish({});
+}
+
+auto HttpClientCall::timedOut() -> void
+{
+    this->fail(this->hasSentBytes() ? Error::Timeout : Error::ConnectionFailed);
+}
+
+auto HttpClientCall::fail(Error error) -> void
+{
+    if (this->isDone)
+        return;
+    const auto keep = this->self;
+    this->isFailing = true;
+    this->release(false);
+    this->finish(error);
+}
+
+auto HttpClientCall::cancel() -> void
+{
+    if (this->isDone)
+        return;
+    const auto keep = this->self;
+    this->isDone = true;
+    this->isFailing = true;
+    this->release(false);
+    this->self.reset();
+}
+
+auto HttpClientCall::pause() -> void
+{
+    if (this->isPaused || this->isDone)
+        return;
+    this->isPaused = true;
+    this->timer.stop();
+    // evhttp turns reading on again when a callback returns, hence the later moment.
+    this->client.loop.post([call = this->self] {
+        if (call->isPaused && call->connection)
+            bufferevent_disable(evhttp_connection_get_bufferevent(call->connection), EV_READ);
+    });
+}
+
+auto HttpClientCall::resume() -> void
+{
+    if (!this->isPaused || this->isDone)
+        return;
+    this->isPaused = false;
+    this->timer.start(this->options.idleTimeout);
+    if (this->connection)
+        bufferevent_enable(evhttp_connection_get_bufferevent(this->connection), EV_READ);
+}
+
+auto HttpClientCall::release(bool reusable) -> void
+{
+    this->timer.stop();
+    if (!this->connection)
+        return;
+    if (this->outputWatch) {
+        auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
+        evbuffer_remove_cb_entry(output, this->outputWatch);
+        this->outputWatch = nullptr;
+    }
+    auto* released = std::exchange(this->connection, nullptr);
+    if (this->handle) {
+        evhttp_request_set_chunked_cb(this->handle, nullptr);
+        evhttp_request_set_header_cb(this->handle, nullptr);
+        evhttp_request_set_error_cb(this->handle, nullptr);
+        evhttp_cancel_request(std::exchange(this->handle, nullptr));
+    }
+    if (reusable && !this->options.usesFreshConnection)
+        this->client.keepConnection(this->server, released);
+    else
+        this->client.discardConnection(released);
+}
+
+auto HttpClientCall::finish(std::error_code error) -> void
+{
+    this->isDone = true;
+    const auto keep = std::move(this->self);
+    if (this->handlers.onDone)
+        this->handlers.onDone(error);
+}
+
+HttpClient::HttpClient(EventLoop& loop)
+    : loop(loop)
+    , isAlive(std::make_shared<bool>(true))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    *this->isAlive = false;
+    for (auto& [server, connections] : this->idle) {
+        for (auto* connection : connections) {
+            evhttp_connection_set_closecb(connection, nullptr, nullptr);
+            evhttp_connection_free(connection);
+        }
+    }
+}
+
+auto HttpClient::send(const Address& server, const HttpRequest& request, const HttpCallOptions& options, HttpCallHandlers handlers)
+    -> std::shared_ptr<HttpCall>
+{
+    const auto call = std::make_shared<HttpClientCall>(*this, server, options, std::move(handlers));
+    call->begin(request);
+    return call;
+}
+
+auto HttpClient::fetch(const Address& server, const HttpRequest& request, const HttpCallOptions& options,
+    std::function<void(std::error_code, const HttpResponse&)> done) -> std::shared_ptr<HttpCall>
+{
+    const auto response = std::make_shared<HttpResponse>();
+    HttpCallHandlers handlers;
+    handlers.onHeaders = [response](int status, const HttpHeaders& headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    handlers.onPiece = [response](std::string_view piece) { response->body += piece; };
+    handlers.onDone = [response, done = std::move(done)](std::error_code error) { done(error, *response); };
+    return this->send(server, request, options, std::move(handlers));
+}
+
+auto HttpClient::dropIdleConnections(const Address& server) -> void
+{
+    const auto found = this->idle.find(server);
+    if (found == this->idle.end())
+        return;
+    const auto connections = std::move(found->second);
+    this->idle.erase(found);
+    for (auto* connection : connections)
+        this->discardConnection(connection);
+}
+
+auto HttpClient::takeConnection(const Address& server, bool fresh) -> evhttp_connection*
+{
+    auto& connections = this->idle[server];
+    if (!fresh && !connections.empty()) {
+        auto* connection = connections.back();
+        connections.pop_back();
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        return connection;
+    }
+    auto* connection = evhttp_connection_base_new(this->loop.base(), nullptr, server.ip.c_str(), server.port);
+    evhttp_connection_set_retries(connection, 0);
+    evhttp_connection_set_timeout(connection, noLibraryTimeout);
+    return connection;
+}
+
+auto HttpClient::keepConnection(const Address& server, evhttp_connection* connection) -> void
+{
+    // The connection is idle only after the callback that ended its request has returned.
+    this->loop.post([this, alive = this->isAlive, server, connection] {
+        if (!*alive)
+            return evhttp_connection_free(connection);
+        auto& connections = this->idle[server];
+        if (connections.size() >= maxIdlePerServer)
+            return evhttp_connection_free(connection);
+        connections.push_back(connection);
+        evhttp_connection_set_closecb(
+            connection, [](evhttp_connection* closed, void* client) { static_cast<HttpClient*>(client)->forget(closed); }, this);
+    });
+}
+
+auto HttpClient::discardConnection(evhttp_connection* connection) -> void
+{
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    this->loop.post([connection] { evhttp_connection_free(connection); });
+}
+
+auto HttpClient::forget(evhttp_connection* connection) -> void
+{
+    for (auto& [server, connections] : this->idle) {
+        const auto found = std::find(connections.begin(), connections.end(), connection);
+        if (found == connections.end())
+            continue;
+        connections.erase(found);
+        return this->discardConnection(connection);
+    }
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/http/httpmessage.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Primrosefork {
+
+/** One header of a message. */
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+/**
+ * The headers of a message; names are compared without regard to case.
+ */
+class HttpHeaders {
+public:
+    HttpHeaders() = default;
+    HttpHeaders(std::initializer_list<HttpHeader> headers)
+        : headers(headers)
+    {
+    }
+
+    auto add(std::string name, std::string value) -> void;
+
+    /** Returns the value of the first header called \a name, or nothing. */
+    [[nodiscard]] auto get(std::string_view name) const -> std::optional<std::string>;
+
+    /** Returns how many headers are called \a name. */
+    [[nodiscard]] auto count(std::string_view name) const -> std::size_t;
+
+    [[nodiscard]] auto begin() const { return this->headers.begin(); }
+    [[nodiscard]] auto end() const { return this->headers.end(); }
+
+private:
+    std::vector<HttpHeader> headers;
+};
+
+/** A request, whole. */
+struct HttpRequest {
+    std::string method;
+    std::string path; ///< Begins with '/', without the query.
+    std::string query; ///< Without the '?'.
+    HttpHeaders headers;
+    std::string body;
+
+    /** Returns the decoded value of the query parameter \a name, or nothing. */
+    [[nodiscard]] auto queryValue(const std::string& name) const -> std::optional<std::string>;
+
+    /** Returns path and query as they stand in a request line. */
+    [[nodiscard]] auto target() const -> std::string;
+};
+
+/** A response, whole. */
+struct HttpResponse {
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+namespace HttpStatus {
+constexpr int ok = 200;
+constexpr int created = 201;
+constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int forbidden = 403;
+constexpr int notFound = 404;
+constexpr int methodNotAllowed = 405;
+constexpr int conflict = 409;
+constexpr int tooLarge = 413;
+constexpr int unprocessable = 422;
+constexpr int tooManyRequests = 429;
+constexpr int internalError = 500;
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+} // namespace HttpStatus
+
+/** Returns \a text with every byte but letters, digits and "-_.~" written as %XX. */
+[[nodiscard]] auto percentEncode(std::string_view text) -> std::string;
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/libprimrosefork/address.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Primrosefork {
+
+/**
+ * A numeric IPv4 address and port; names are never resolved.
+ */
+struct Address {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Address&) const = default; // NOLINT(modernize-use-nullptr): of the generated code
+
+    /** Returns the address as "ip:port". */
+    [[nodiscard]] auto toString() const -> std::string;
+};
+
+/**
+ * Returns the address that \a text ("127.0.0.1:8080") spells, or nothing when
+ * it is not a numeric address with a port from 1 to 65535.
+ */
+[[nodiscard]] auto parseAddress(std::string_view text) -> std::optional<Address>;
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/libprimrosefork/configuration.cpp
@@ -0,0 +1,20 @@
+#include "configuration.h"
+
+namespace Primrosefork {
+
+auto Configuration::workspaceOfKey(const std::string& keyHash) const -> const Workspace*
+{
+    for (const auto& [name, workspace] : this->workspaces) {
+        if (workspace.keyHash == keyHash)
+            return &workspace;
+    }
+    return nullptr;
+}
+
+auto Configuration::service(const std::string& workspace, const std::string& name) const -> const ServiceRecord*
+{
+    const auto found = this->services.find({ workspace, name });
+    return found == this->services.end() ? nullptr : &found->second;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/libprimrosefork/jsonreader.cpp
@@ -0,0 +1,254 @@
+#include "jsonreader.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+struct Unit {
+    std::string_view name;
+    std::int64_t factor;
+};
+
+constexpr std::array durationUnits { Unit { "ms", 1 }, Unit { "s", 1000 }, Unit { "m", 60'000 }, Unit { "h", 3'600'000 } };
+constexpr std::array sizeUnits { Unit { "B", 1 }, Unit { "KiB", 1024 }, Unit { "MiB", 1'048'576 } };
+
+template <typename Units>
+auto parseQuantity(const std::string& text, const Units& units) -> std::optional<std::int64_t>
+{
+    std::int64_t count = 0;
+    const auto* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, count);
+    if (error != std::errc {} || end == text.data())
+        return std::nullopt;
+    const std::string_view suffix(end, static_cast<std::size_t>(last - end));
+    for (const auto& unit : units) {
+        if (suffix == unit.name)
+            return count * unit.factor;
+    }
+    return std::nullopt;
+}
+
+template <typename Number>
+auto rangeMessage(Number least, Number most, const std::string& unit) -> std::string
+{
+    return "out of range, expected " + std::to_string(least) + " to " + std::to_string(most) + unit;
+}
+
+} // namespace
+
+JsonReader::JsonReader(const nlohmann::json& object, std::string place, Findings& findings)
+    : json(object)
+    , place(std::move(place))
+    , findings(findings)
+{
+}
+
+auto JsonReader::has(const std::string& key) const -> bool
+{
+    return this->json.contains(key);
+}
+
+auto JsonReader::string(const std::string& key, std::string& value) -> void
+{
+    if (const auto* field = this->require(key)) {
+        if (!field->is_string())
+            return this->report(key, "expected a string");
+        value = field->get<std::string>();
+        if (value.empty())
+            this->report(key, "must not be empty");
+    }
+}
+
+auto JsonReader::optionalString(const std::string& key, std::string& value) -> void
+{
+    if (this->find(key))
+        this->string(key, value);
+}
+
+auto JsonReader::boolean(const std::string& key, bool& value) -> void
+{
+    if (const auto* field = this->find(key)) {
+        if (!field->is_boolean())
+            return this->report(key, "expected true or false");
+        value = field->get<bool>();
+    }
+}
+
+auto JsonReader::integer(const std::string& key, std::int64_t& value, std::int64_t least, std::int64_t most) -> void
+{
+    if (const auto* field = this->require(key)) {
+        if (!field->is_number_integer())
+            return this->report(key, "expected a whole number");
+        value = field->get<std::int64_t>();
+        if (value < least || value > most)
+            this->report(key, rangeMessage(least, most, ""));
+    }
+}
+
+auto JsonReader::optionalInteger(const std::string& key, std::int64_t& value, std::int64_t least, std::int64_t most) -> void
+{
+    if (this->find(key))
+        this->integer(key, value, least, most);
+}
+
+auto JsonReader::number(const std::string& key, double& value, double least, double most) -> void
+{
+    if (const auto* field = this->find(key)) {
+        if (!field->is_number())
+            return this->report(key, "expected a number");
+        value = field->get<double>();
+        if (value < least || value > most)
+            this->report(key, rangeMessage(least, most, ""));
+    }
+}
+
+auto JsonReader::duration(const std::string& key, std::chrono::milliseconds& value,
+    std::chrono::milliseconds least, std::chrono::milliseconds most) -> void
+{
+    const auto* field = this->find(key);
+    if (!field)
+        return;
+    if (field->is_number())
+        return this->report(key, "missing unit, write a duration as \"250ms\", \"5s\", \"2m\" or \"1h\"");
+    const auto parsed = field->is_string() ? parseQuantity(field->get<std::string>(), durationUnits) : std::nullopt;
+    if (!parsed)
+        return this->report(key, "expected a duration such as \"250ms\", \"5s\", \"2m\" or \"1h\"");
+    value = std::chrono::milliseconds(*parsed);
+    if (value < least || value > most)
+        this->report(key, rangeMessage(least.count(), most.count(), " ms"));
+}
+
+auto JsonReader::size(const std::string& key, std::size_t& value, std::size_t least, std::size_t most) -> void
+{
+    const auto* field = this->find(key);
+    if (!field)
+        return;
+    if (field->is_number())
+        return this->report(key, "missing unit, write a size as \"512B\", \"64KiB\" or \"1MiB\"");
+    const auto parsed = field->is_string() ? parseQuantity(field->get<std::string>(), sizeUnits) : std::nullopt;
+    if (!parsed || *parsed < 0)
+        return this->report(key, "expected a size such as \"512B\", \"64KiB\" or \"1MiB\"");
+    value = static_cast<std::size_t>(*parsed);
+    if (value < least || value > most)
+        this->report(key, rangeMessage(least, most, " B"));
+}
+
+auto JsonReader::address(const std::string& key, Address& value) -> void
+{
+    if (const auto* field = this->require(key)) {
+        const auto parsed = field->is_string() ? parseAddress(field->get<std::string>()) : std::nullopt;
+        if (!parsed)
+            return this->report(key, "expected a numeric address such as \"127.0.0.1:8080\"");
+        value = *parsed;
+    }
+}
+
+auto JsonReader::optionalAddress(const std::string& key, Address& value) -> void
+{
+    if (this->find(key))
+        this->address(key, value);
+}
+
+auto JsonReader::object(const std::string& key, const std::function<void(JsonReader&)>& read) -> void
+{
+    if (const auto* field = this->require(key))
+        this->readObject(*field, this->placeOf(key), read);
+}
+
+auto JsonReader::optionalObject(const std::string& key, const std::function<void(JsonReader&)>& read) -> void
+{
+    if (const auto* field = this->find(key))
+        this->readObject(*field, this->placeOf(key), read);
+}
+
+auto JsonReader::objects(const std::string& key, const std::function<void(JsonReader&)>& read) -> void
+{
+    const auto* field = this->find(key);
+    if (!field)
+        return;
+    if (!field->is_array())
+        return this->report(key, "expected a list");
+    for (std::size_t index = 0; index < field->size(); ++index)
+        this->readObject((*field)[index], this->placeOf(key) + "/" + std::to_string(index), read);
+}
+
+auto JsonReader::members(const std::string& key, const std::function<void(const std::string&, JsonReader&)>& read) -> void
+{
+    const auto* field = this->find(key);
+    if (!field)
+        return;
+    if (!field->is_object())
+        return this->report(key, "expected an object");
+    for (const auto& [name, value] : field->items())
+        this->readObject(value, this->placeOf(key) + "/" + name, [&, &name = name](JsonReader& reader) { read(name, reader); });
+}
+
+auto JsonReader::strings(const std::string& key, std::vector<std::string>& values) -> void
+{
+    const auto* field = this->find(key);
+    if (!field)
+        return;
+    if (!field->is_array())
+        return this->report(key, "expected a list");
+    for (const auto& item : *field) {
+        if (!item.is_string())
+            return this->report(key, "expected a list of strings");
+        values.push_back(item.get<std::string>());
+    }
+}
+
+auto JsonReader::report(const std::string& key, std::string message) -> void
+{
+    this->findings.push_back({ key.empty() ? this->place : this->placeOf(key), std::move(message) });
+}
+
+auto JsonReader::finish() -> void
+{
+    if (!this->json.is_object())
+        return;
+    for (const auto& [key, value] : this->json.items()) {
+        if (!this->known.contains(key))
+            this->report(key, "unknown key");
+    }
+}
+
+auto JsonReader::find(const std::string& key) -> const nlohmann::json*
+{
+    this->known.insert(key);
+    if (!this->json.is_object())
+        return nullptr;
+    const auto found = this->json.find(key);
+    return found == this->json.end() ? nullptr : &*found;
+}
+
+auto JsonReader::require(const std::string& key) -> const nlohmann::json*
+{
+    const auto* field = this->find(key);
+    if (!field)
+        this->report(key, "missing");
+    return field;
+}
+
+auto JsonReader::readObject(const nlohmann::json& value, const std::string& place,
+    const std::function<void(JsonReader&)>& read) -> void
+{
+    if (!value.is_object()) {
+        this->findings.push_back({ place, "expected an object" });
+        return;
+    }
+    JsonReader reader(value, place, this->findings);
+    read(reader);
+    reader.finish();
+}
+
+auto JsonReader::placeOf(const std::string& key) const -> std::string
+{
+    return this->place + "/" + key;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/libprimrosefork/membership.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "address.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Primrosefork {
+
+/** What a node believes of a peer. */
+enum class PeerState {
+    Alive,
+    Suspect,
+    Dead,
+    Left,
+};
+
+/**
+ * A peer node as this node knows it.
+ */
+struct Peer {
+    std::string id;
+    Address address;
+    std::string zone;
+    std::string region;
+    PeerState state = PeerState::Alive;
+    std::uint64_t incarnation = 0;
+    std::uint64_t configurationRevision = 0; ///< Store revision that the peer has in force.
+
+    auto operator==(const Peer&) const -> bool = default;
+};
+
+/** The peers that a node knows, by id. */
+using Peers = std::map<std::string, Peer>;
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/libprimrosefork/retrypolicy.cpp
@@ -0,0 +1,17 @@
+#include "retrypolicy.h"
+
+namespace Primrosefork {
+
+FixedRetryPolicy::FixedRetryPolicy(int maxAttempts)
+    : maxAttempts(maxAttempts)
+{
+}
+
+auto FixedRetryPolicy::retryDelay(int failedAttempts, TimePoint /*now*/) -> std::optional<std::chrono::milliseconds>
+{
+    if (failedAttempts >= this->maxAttempts)
+        return std::nullopt;
+    return std::chrono::milliseconds(0);
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/libprimrosefork/routingpolicy.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "backendserver.h"
+#include "servicetemplate.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Primrosefork {
+
+/**
+ * What a routing policy is told of one request.
+ */
+struct RoutingRequest {
+    std::uint64_t id = 0; ///< Unique on this node while the request runs.
+    WorkClass workClass = WorkClass::Short;
+    std::int64_t promptTokens = 0;
+    std::int64_t expectedTokens = 0; ///< Of the answer.
+    std::uint64_t prefixHash = 0; ///< Of the start of the prompt; 0 when nothing can be shared.
+    std::int64_t priority = 5;
+    std::string_view zone; ///< Of the deciding node.
+};
+
+/** How one attempt at a backend server ended. */
+enum class AttemptEnd {
+    Finished,
+    Failed, ///< The server answered with an error or the connection broke.
+    Stalled, ///< No piece came within the idle timeout.
+    Cancelled,
+};
+
+/**
+ * Decides which backend server runs a request.
+ *
+ * The node tells the policy of everything that happens to its own requests; a
+ * policy keeps whatever view it needs. It reads no clock: each call gets the
+ * present moment.
+ */
+class RoutingPolicy {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    virtual ~RoutingPolicy() = default;
+
+    /**
+     * Returns the one of \a candidates that is to run \a request, or null when
+     * none of them should be given more work now.
+     */
+    virtual auto choose(const RoutingRequest& request, std::span<const BackendServer* const> candidates, TimePoint now)
+        -> const BackendServer* = 0;
+
+    /** The load reports were replaced. */
+    virtual auto loadReported(const LoadReports&, TimePoint) -> void { }
+
+    /** \a request was sent to \a server. */
+    virtual auto requestSent(const RoutingRequest&, const BackendServer&, TimePoint) -> void { }
+
+    /** The first piece of the answer to \a request came. */
+    virtual auto firstPieceReceived(const RoutingRequest&, const BackendServer&, TimePoint) -> void { }
+
+    /** A later piece of the answer came, of \a tokens tokens. */
+    virtual auto pieceReceived(const RoutingRequest&, const BackendServer&, std::int64_t /*tokens*/, TimePoint) -> void { }
+
+    /** The attempt ended. */
+    virtual auto requestEnded(const RoutingRequest&, const BackendServer&, AttemptEnd, TimePoint) -> void { }
+};
+
+/**
+ * Returns the policy called \a name: "product", "round-robin",
+ * "least-outstanding" or "least-reported-load". Returns null for other names.
+ */
+[[nodiscard]] auto makeRoutingPolicy(std::string_view name) -> std::unique_ptr<RoutingPolicy>;
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/node/configurationcontroller.cpp
@@ -0,0 +1,119 @@
+#include "configurationcontroller.h"
+
+#include "configurationrecord.h"
+#include "eventlog.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr auto controllerName = "ConfigurationController";
+constexpr auto firstRetryDelay = 200ms;
+constexpr auto longestRetryDelay = 2s;
+constexpr auto changeGap = 200ms; ///< Between two watches, so that a burst of changes costs few calls.
+
+auto withJitter(std::chrono::milliseconds delay) -> std::chrono::milliseconds
+{
+    static std::minstd_rand generator(std::random_device {}());
+    return delay / 2 + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, delay.count())(generator));
+}
+
+/** Templates before the services that are made from them. */
+auto inOrderOfUse(std::vector<StoreEntry> entries) -> std::vector<StoreEntry>
+{
+    const auto isService = [](const StoreEntry& entry) { return entry.key.starts_with("config/services/"); };
+    std::stable_partition(entries.begin(), entries.end(), [&isService](const StoreEntry& entry) { return !isService(entry); });
+    return entries;
+}
+
+} // namespace
+
+ConfigurationController::ConfigurationController(EventLoop& loop, KeyValueStore& store, Blackboard& blackboard, const EventLog& log,
+    std::chrono::milliseconds watchTime)
+    : loop(loop)
+    , store(store)
+    , configuration(blackboard.configuration.acquireWriter(controllerName))
+    , log(log)
+    , watchTime(watchTime)
+    , timer(loop, [this] { this->hasListed ? this->watchChanges() : this->listAll(); })
+{
+}
+
+auto ConfigurationController::begin() -> void
+{
+    this->listAll();
+}
+
+auto ConfigurationController::listAll() -> void
+{
+    this->store.list(std::string(ConfigurationKeys::all),
+        [this](std::error_code error, const StoreListing& listing) { this->received(error, listing); });
+}
+
+auto ConfigurationController::watchChanges() -> void
+{
+    this->store.watch(std::string(ConfigurationKeys::all), this->watchedUpTo, this->watchTime,
+        [this](std::error_code error, const StoreListing& listing) { this->received(error, listing); });
+}
+
+auto ConfigurationController::received(std::error_code error, const StoreListing& listing) -> void
+{
+    if (error)
+        return this->storeFailed(error);
+    this->storeAnswered();
+    this->hasListed = true;
+    // A store that was restored from an older copy counts from a lower number; watch from what it has.
+    this->watchedUpTo = listing.revision;
+    this->apply(listing);
+    this->timer.start(listing.entries.empty() ? 0ms : changeGap);
+}
+
+auto ConfigurationController::apply(const StoreListing& listing) -> void
+{
+    const auto& current = this->configuration.value();
+    if (listing.entries.empty() && current.storeRevision != 0)
+        return;
+    auto next = current;
+    for (const auto& entry : inOrderOfUse(listing.entries))
+        this->applyEntry(next, entry);
+    next.storeRevision = std::max(current.storeRevision, listing.revision);
+    this->log.write(Event::ConfigurationApplied, { { "store_revision", std::to_string(next.storeRevision) }, { "records", std::to_string(listing.entries.size()) } });
+    this->configuration.write(std::move(next));
+}
+
+auto ConfigurationController::applyEntry(Configuration& next, const StoreEntry& entry) -> void
+{
+    Findings findings;
+    if (!applyRecord(next, entry.key, entry.value, findings))
+        this->log.write(Event::ConfigurationRecordRejected, { { "key", entry.key }, { "findings", formatFindings(findings) } });
+}
+
+auto ConfigurationController::storeFailed(std::error_code error) -> void
+{
+    if (std::exchange(this->isStoreAvailable, false))
+        this->log.write(Event::StoreUnavailable, { { "error", error.message() } });
+    this->retryDelay = std::clamp<std::chrono::milliseconds>(this->retryDelay * 2, firstRetryDelay, longestRetryDelay);
+    this->timer.start(withJitter(this->retryDelay));
+}
+
+auto ConfigurationController::storeAnswered() -> void
+{
+    this->retryDelay = 0ms;
+    if (!std::exchange(this->isStoreAvailable, true))
+        this->log.write(Event::StoreRecovered);
+}
+
+auto ConfigurationController::dumpState() const -> nlohmann::json
+{
+    const auto& current = this->configuration.value();
+    return { { "store_revision", current.storeRevision }, { "store_available", this->isStoreAvailable },
+        { "workspaces", current.workspaces.size() }, { "templates", current.templates.size() }, { "revisions", current.revisions } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,95 @@
+#include "node.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr int maxAttempts = 4;
+
+} // namespace
+
+Node::Node(EventLoop& loop, NodeSettings nodeSettings)
+    : loop(loop)
+    , settings(std::move(nodeSettings))
+    , log(this->settings.logLevel)
+    , httpClient(loop)
+    , store(this->httpClient, this->settings.keyValueService, this->settings.timeouts.store)
+    , instanceList(this->httpClient, this->settings.instanceList, this->settings.timeouts.store)
+    , cloudApi(this->httpClient, this->settings.cloudApi, this->settings.timeouts.store)
+    , engines(this->httpClient, this->settings.timeouts.store)
+    , plainServices(this->httpClient)
+    , routing(makeRoutingPolicy(this->settings.routingPolicy))
+    , retries(maxAttempts)
+    , admission(static_cast<std::size_t>(this->settings.limits.openRequests))
+    , configuration(loop, this->store, this->blackboard, this->log, this->settings.timeouts.watch)
+    , backends(loop, this->instanceList, this->blackboard, this->log, this->settings.timeouts.instancePoll)
+    , load(loop, this->engines, this->blackboard, this->settings.timeouts.loadPoll)
+    , notices(loop, this->cloudApi, this->blackboard, this->log, this->settings.timeouts.noticePoll)
+    , requests({ loop, this->settings, this->blackboard, *this->routing, this->retries, this->engines, this->plainServices, this->metrics, this->log }, this->admission)
+    , lifecycle(loop, this->blackboard, this->log, this->settings.timeouts.drain, [this] { return this->callerServer.openCount(); })
+    , callerServer(loop, this->settings, this->requests, this->lifecycle)
+    , operatorServer(loop, this->settings, this->metrics)
+{
+    this->connectSignals();
+    this->addStateSources();
+}
+
+auto Node::connectSignals() -> void
+{
+    this->callerServer.becameIdle().connect([this] { this->lifecycle.finishWhenIdle(); });
+    this->lifecycle.acceptingEnded.connect([this] { this->callerServer.stopAccepting(); });
+    this->lifecycle.stopped.connect([this] {
+        this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
+        this->loop.post([this] { this->loop.stop(); });
+    });
+    this->blackboard.loadReports.changed.connect(
+        [this](const LoadReports& reports) { this->routing->loadReported(reports, EventLoop::now()); });
+    this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
+        if (current.contains(this->settings.id))
+            this->lifecycle.requestStop("reclaim notice");
+    });
+}
+
+auto Node::addStateSources() -> void
+{
+    for (const StateSource* source : std::initializer_list<const StateSource*> {
+             &this->lifecycle, &this->configuration, &this->backends, &this->load, &this->notices, &this->requests })
+        this->operatorServer.addSource(*source);
+}
+
+auto Node::begin() -> std::error_code
+{
+    if (const auto error = this->callerServer.listen()) {
+        this->log.write(Event::ListenFailed, { { "address", this->settings.callers.toString() }, { "error", error.message() } });
+        return error;
+    }
+    if (const auto error = this->operatorServer.listen()) {
+        this->log.write(Event::ListenFailed, { { "address", this->settings.operators.toString() }, { "error", error.message() } });
+        return error;
+    }
+    this->log.write(Event::NodeStarted,
+        { { "node", this->settings.id }, { "zone", this->settings.zone }, { "callers", this->settings.callers.toString() }, { "operators", this->settings.operators.toString() } });
+    this->configuration.begin();
+    this->backends.begin();
+    this->load.begin();
+    if (this->settings.cloudApi.port != 0)
+        this->notices.begin();
+    return {};
+}
+
+auto Node::requestStop(const char* reason) -> void
+{
+    this->lifecycle.requestStop(reason);
+}
+
+auto Node::writeStateDump() const -> void
+{
+    this->log.write(Event::StateDumped, { { "node", this->settings.id } });
+    std::cerr << this->operatorServer.dumpState().dump(2) << std::endl;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "admissionpolicy.h"
+#include "backendcontroller.h"
+#include "blackboard.h"
+#include "callerserver.h"
+#include "configurationcontroller.h"
+#include "eventlog.h"
+#include "eventloop.h"
+#include "httpclient.h"
+#include "httpcloudapi.h"
+#include "httpengines.h"
+#include "httpinstancelist.h"
+#include "httpkeyvaluestore.h"
+#include "lifecyclecontroller.h"
+#include "loadcontroller.h"
+#include "metrics.h"
+#include "nodesettings.h"
+#include "noticecontroller.h"
+#include "operatorserver.h"
+#include "plainservice.h"
+#include "requestcontroller.h"
+#include "retrypolicy.h"
+#include "routingpolicy.h"
+
+#include <memory>
+
+namespace Primrosefork {
+
+/**
+ * One entry node: its blackboard, its controllers and its ports.
+ */
+class Node {
+public:
+    Node(EventLoop&, NodeSettings);
+
+    /** Opens the ports and starts the controllers. */
+    auto begin() -> std::error_code;
+
+    /** Begins the planned stop; the loop ends when it is done. */
+    auto requestStop(const char* reason) -> void;
+
+    /** Writes the state dump to standard error. */
+    auto writeStateDump() const -> void;
+
+    [[nodiscard]] auto board() const -> const Blackboard& { return this->blackboard; }
+
+private:
+    auto connectSignals() -> void;
+    auto addStateSources() -> void;
+
+    EventLoop& loop;
+    NodeSettings settings;
+    EventLog log;
+    Metrics metrics;
+    Blackboard blackboard;
+    HttpClient httpClient;
+    HttpKeyValueStore store;
+    HttpInstanceList instanceList;
+    HttpCloudApi cloudApi;
+    HttpEngines engines;
+    HttpPlainServices plainServices;
+    std::unique_ptr<RoutingPolicy> routing;
+    FixedRetryPolicy retries;
+    CountAdmissionPolicy admission;
+    ConfigurationController configuration;
+    BackendController backends;
+    LoadController load;
+    NoticeController notices;
+    RequestController requests;
+    LifecycleController lifecycle;
+    CallerServer callerServer;
+    OperatorServer operatorServer;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/node/requestcontext.h
@@ -0,0 +1,31 @@
+#pragma once
+
+namespace Primrosefork {
+
+class AdmissionPolicy;
+class Blackboard;
+class Engines;
+class EventLog;
+class EventLoop;
+class Metrics;
+class PlainServices;
+class RetryPolicy;
+class RoutingPolicy;
+struct NodeSettings;
+
+/**
+ * What the requests of one node share.
+ */
+struct RequestContext {
+    EventLoop& loop;
+    const NodeSettings& settings;
+    const Blackboard& blackboard;
+    RoutingPolicy& routing;
+    RetryPolicy& retries;
+    Engines& engines;
+    PlainServices& plainServices;
+    Metrics& metrics;
+    const EventLog& log;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/observe/events.cpp
@@ -0,0 +1,39 @@
+#include "events.h"
+
+#include <array>
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::array descriptions {
+    EventDescription { Event::NodeStarted, Severity::Info, "nodeStarted" },
+    EventDescription { Event::NodeDraining, Severity::Info, "nodeDraining" },
+    EventDescription { Event::NodeStopped, Severity::Info, "nodeStopped" },
+    EventDescription { Event::ListenFailed, Severity::Error, "listenFailed" },
+    EventDescription { Event::StopRepeated, Severity::Info, "stopRepeated" },
+    EventDescription { Event::DrainTimedOut, Severity::Error, "drainTimedOut" },
+    EventDescription { Event::StateDumped, Severity::Info, "stateDumped" },
+    EventDescription { Event::ConfigurationApplied, Severity::Info, "configurationApplied" },
+    EventDescription { Event::ConfigurationRecordRejected, Severity::Error, "configurationRecordRejected" },
+    EventDescription { Event::ConfigurationOlderIgnored, Severity::Warning, "configurationOlderIgnored" },
+    EventDescription { Event::ServiceChanged, Severity::Info, "serviceChanged" },
+    EventDescription { Event::StoreUnavailable, Severity::Warning, "storeUnavailable" },
+    EventDescription { Event::StoreRecovered, Severity::Info, "storeRecovered" },
+    EventDescription { Event::InstanceListUnavailable, Severity::Warning, "instanceListUnavailable" },
+    EventDescription { Event::BackendAdded, Severity::Info, "backendAdded" },
+    EventDescription { Event::BackendLeaving, Severity::Info, "backendLeaving" },
+    EventDescription { Event::BackendRemoved, Severity::Info, "backendRemoved" },
+    EventDescription { Event::ReclaimNoticed, Severity::Warning, "reclaimNoticed" },
+    EventDescription { Event::AttemptFailed, Severity::Warning, "attemptFailed" },
+    EventDescription { Event::AnswerCutOff, Severity::Error, "answerCutOff" },
+};
+
+} // namespace
+
+auto eventDescriptions() -> std::span<const EventDescription>
+{
+    return descriptions;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/observe/events.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <span>
+
+namespace Primrosefork {
+
+/** How much an event matters to the one on call. */
+enum class Severity {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/**
+ * The numbered events of the log. A number keeps its meaning for good; the
+ * catalogue with causes and remedies is docs/EVENTS.md.
+ */
+enum class Event {
+    NodeStarted = 1001,
+    NodeDraining = 1002,
+    NodeStopped = 1003,
+    ListenFailed = 1004,
+    StopRepeated = 1005,
+    DrainTimedOut = 1006,
+    StateDumped = 1007,
+    ConfigurationApplied = 2001,
+    ConfigurationRecordRejected = 2002,
+    ConfigurationOlderIgnored = 2003,
+    ServiceChanged = 2004,
+    StoreUnavailable = 3001,
+    StoreRecovered = 3002,
+    InstanceListUnavailable = 3003,
+    BackendAdded = 3101,
+    BackendLeaving = 3102,
+    BackendRemoved = 3103,
+    ReclaimNoticed = 3104,
+    AttemptFailed = 4001,
+    AnswerCutOff = 4002,
+};
+
+/** The fixed part of one event. */
+struct EventDescription {
+    Event event;
+    Severity severity;
+    const char* name;
+};
+
+/** Returns the descriptions of all events, by number. */
+[[nodiscard]] auto eventDescriptions() -> std::span<const EventDescription>;
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/platform/httpengines.cpp
@@ -0,0 +1,173 @@
+#include "httpengines.h"
+
+#include "errors.h"
+#include "linesplitter.h"
+#include "units.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t maxLineBytes = 64 * kibibyte;
+
+auto toHttp(const GenerationRequest& request) -> HttpRequest
+{
+    const Json body {
+        { "stream", request.streamId },
+        { "prompt", request.prompt },
+        { "max_tokens", request.maxTokens },
+        { "priority", request.priority },
+        { "offset", request.offset },
+        { "delivered", request.delivered },
+    };
+    return { "POST", "/v1/generate", "", { { "Content-Type", "application/json" } }, body.dump(-1, ' ', false, Json::error_handler_t::replace) };
+}
+
+/**
+ * A generation on one HTTP call.
+ */
+class HttpGeneration : public Generation, public std::enable_shared_from_this<HttpGeneration> {
+public:
+    explicit HttpGeneration(GenerationHandlers handlers)
+        : handlers(std::move(handlers))
+        , lines(maxLineBytes)
+    {
+    }
+
+    auto begin(HttpClient& client, const Address& engine, const GenerationRequest& request, const GenerationTimeouts& timeouts) -> void
+    {
+        HttpCallOptions options;
+        options.connectTimeout = timeouts.connect;
+        options.firstByteTimeout = timeouts.firstPiece;
+        options.idleTimeout = timeouts.idle;
+        options.answerBytes = 0;
+        HttpCallHandlers callHandlers;
+        const auto self = this->shared_from_this();
+        callHandlers.onHeaders = [self](int status, const HttpHeaders&) { self->status = status; };
+        callHandlers.onPiece = [self](std::string_view piece) { self->received(piece); };
+        callHandlers.onDone = [self](std::error_code error) { self->ended(error); };
+        this->call = client.send(engine, toHttp(request), options, std::move(callHandlers));
+    }
+
+    auto cancel() -> void override
+    {
+        this->isDone = true;
+        if (const auto running = std::exchange(this->call, nullptr))
+            running->cancel();
+    }
+
+    auto pause() -> void override
+    {
+        if (this->call)
+            this->call->pause();
+    }
+
+    auto resume() -> void override
+    {
+        if (this->call)
+            this->call->resume();
+    }
+
+private:
+    auto received(std::string_view piece) -> void
+    {
+        if (this->status != HttpStatus::ok)
+            return;
+        const auto error = this->lines.add(piece, [this](std::string_view line) { return this->readLine(line); });
+        if (error)
+            this->stop(error);
+    }
+
+    auto readLine(std::string_view line) -> bool
+    {
+        const auto json = Json::parse(line, nullptr, false);
+        try {
+            if (json.is_object() && json.contains("done"))
+                this->readSummary(json);
+            else
+                this->handlers.onPiece({ json.at("offset").get<std::int64_t>(), json.at("text").get<std::string>() });
+        } catch (const Json::exception&) {
+            this->stop(Error::BadAnswer);
+        }
+        return !this->isDone;
+    }
+
+    auto readSummary(const Json& json) -> void
+    {
+        this->summary.tokens = json.at("tokens").get<std::int64_t>();
+        this->summary.computedPromptTokens = json.value("computed_prompt_tokens", std::int64_t { 0 });
+        this->summary.cachedPromptTokens = json.value("cached_prompt_tokens", std::int64_t { 0 });
+        this->isWhole = true;
+    }
+
+    auto ended(std::error_code error) -> void
+    {
+        this->call.reset();
+        if (!error && this->status != HttpStatus::ok)
+            error = Error::Refused;
+        if (!error && !this->isWhole)
+            error = Error::ConnectionLost;
+        this->stop(error);
+    }
+
+    auto stop(std::error_code error) -> void
+    {
+        if (this->isDone)
+            return;
+        const auto self = this->shared_from_this();
+        this->cancel();
+        this->handlers.onDone(error, this->summary);
+    }
+
+    GenerationHandlers handlers;
+    LineSplitter lines;
+    std::shared_ptr<HttpCall> call;
+    GenerationSummary summary;
+    int status = 0;
+    bool isWhole = false;
+    bool isDone = false;
+};
+
+} // namespace
+
+HttpEngines::HttpEngines(HttpClient& client, std::chrono::milliseconds timeout)
+    : client(client)
+    , timeout(timeout)
+{
+}
+
+auto HttpEngines::generate(const Address& engine, const GenerationRequest& request, const GenerationTimeouts& timeouts, GenerationHandlers handlers)
+    -> std::shared_ptr<Generation>
+{
+    const auto generation = std::make_shared<HttpGeneration>(std::move(handlers));
+    generation->begin(this->client, engine, request, timeouts);
+    return generation;
+}
+
+auto HttpEngines::fetchLoad(const Address& engine, LoadHandler handler) -> void
+{
+    HttpCallOptions options;
+    options.connectTimeout = this->timeout;
+    options.firstByteTimeout = this->timeout;
+    options.idleTimeout = this->timeout;
+    this->client.fetch(engine, { "GET", "/v1/load", "", {}, "" }, options,
+        [handler = std::move(handler)](std::error_code error, const HttpResponse& response) {
+            LoadReport report;
+            const auto json = Json::parse(response.body, nullptr, false);
+            if (!error && (response.status != HttpStatus::ok || !json.is_object()))
+                error = Error::BadAnswer;
+            if (!error) {
+                report.running = json.value("running", std::int64_t { 0 });
+                report.waiting = json.value("waiting", std::int64_t { 0 });
+                report.waitingTokens = json.value("waiting_tokens", std::int64_t { 0 });
+            }
+            handler(error, report);
+        });
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/platform/httpinstancelist.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "address.h"
+#include "httpclient.h"
+#include "instancelist.h"
+
+namespace Primrosefork {
+
+/**
+ * Reads the instance list over HTTP with JSON; docs/PLATFORM.md has the call.
+ */
+class HttpInstanceList : public InstanceList {
+public:
+    HttpInstanceList(HttpClient&, Address service, std::chrono::milliseconds timeout);
+
+    auto fetch(Handler) -> void override;
+
+private:
+    HttpClient& client;
+    Address service;
+    std::chrono::milliseconds timeout;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/platform/plainservice.cpp
@@ -0,0 +1,24 @@
+#include "plainservice.h"
+
+#include <utility>
+
+namespace Primrosefork {
+
+HttpPlainServices::HttpPlainServices(HttpClient& client)
+    : client(client)
+{
+}
+
+auto HttpPlainServices::call(const Address& service, const PlainCall& plainCall, Handler handler) -> std::shared_ptr<HttpCall>
+{
+    const auto running = std::make_shared<std::weak_ptr<HttpCall>>();
+    auto call = this->client.fetch(service, plainCall.request, plainCall.options,
+        [running, handler = std::move(handler)](std::error_code error, const HttpResponse& response) {
+            const auto ended = running->lock();
+            handler({ error, response, !ended || ended->hasSentBytes() });
+        });
+    *running = call;
+    return call;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/standins/enginestandin.cpp
@@ -0,0 +1,185 @@
+#include "enginestandin.h"
+
+#include "tokentext.h"
+#include "units.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t bytesPerToken = 4;
+
+auto tokenCount(const std::string& text) -> std::int64_t
+{
+    return static_cast<std::int64_t>((text.size() + bytesPerToken - 1) / bytesPerToken);
+}
+
+} // namespace
+
+EngineStandin::EngineStandin(EventLoop& loop, EngineOptions options)
+    : loop(loop)
+    , server(loop, { .bodyBytes = 16 * mebibyte }, [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
+    , options(std::move(options))
+    , stepTimer(loop, [this] { this->endStep(); })
+    , cache(this->options.cacheBlocks)
+{
+}
+
+auto EngineStandin::listen(const Address& address) -> std::error_code
+{
+    return this->server.listen(address);
+}
+
+auto EngineStandin::handle(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto& path = exchange->request().path;
+    if (path == "/control")
+        return this->control(exchange);
+    if (this->faults.isDown)
+        return exchange->respond({ HttpStatus::unavailable, {}, R"({"error":"down"})" });
+    if (path == "/v1/generate")
+        return this->generate(exchange);
+    if (path == "/v1/load")
+        return this->reportLoad(exchange);
+    exchange->respond({ HttpStatus::notFound, {}, R"({"error":"no such path"})" });
+}
+
+auto EngineStandin::control(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto body = Json::parse(exchange->request().body, nullptr, false);
+    if (body.is_object()) {
+        this->faults.update(body);
+        this->slowdown = body.value("slowdown", this->slowdown);
+        this->isFrozen = body.value("frozen", this->isFrozen);
+        if (body.value("drop_cache", false))
+            this->cache.clear();
+    }
+    exchange->respond({ HttpStatus::ok, {},
+        Json { { "id", this->options.id }, { "running", this->running.size() }, { "waiting", this->waiting.size() },
+            { "computed_prompt_tokens", this->computedTokens }, { "generated_tokens", this->generatedTokens },
+            { "started_streams", this->startedStreams } }
+            .dump() });
+}
+
+auto EngineStandin::generate(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto body = Json::parse(exchange->request().body, nullptr, false);
+    if (!body.is_object())
+        return exchange->respond({ HttpStatus::badRequest, {}, R"({"error":"bad body"})" });
+    Stream stream;
+    stream.id = body.value("stream", "");
+    stream.exchange = exchange;
+    stream.prompt = body.value("prompt", "");
+    stream.priority = body.value("priority", std::int64_t { 0 });
+    stream.maxTokens = body.value("max_tokens", std::int64_t { 1 });
+    stream.next = body.value("offset", std::int64_t { 0 });
+    const auto work = stream.prompt + body.value("delivered", "");
+    stream.cachedTokens = this->cache.take(work);
+    stream.prefillLeft = std::max<std::int64_t>(1, tokenCount(work) - stream.cachedTokens);
+    stream.computedTokens = stream.prefillLeft;
+    ++this->startedStreams;
+
+    const auto place = std::find_if(this->waiting.begin(), this->waiting.end(),
+        [&stream](const Stream& other) { return other.priority < stream.priority; });
+    this->waiting.insert(place, std::move(stream));
+    this->noteLoad();
+    if (!this->stepTimer.isRunning())
+        this->startStep();
+}
+
+auto EngineStandin::reportLoad(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto now = EventLoop::now();
+    while (this->loads.size() > 1 && this->loads[1].shownFrom <= now)
+        this->loads.pop_front();
+    const auto load = this->loads.empty() || this->loads.front().shownFrom > now ? Load {} : this->loads.front();
+    exchange->respond({ HttpStatus::ok, {},
+        Json { { "running", load.running }, { "waiting", load.waiting }, { "waiting_tokens", load.waitingTokens } }.dump() });
+}
+
+auto EngineStandin::fillSlots() -> void
+{
+    std::erase_if(this->waiting, [](const Stream& stream) { return stream.exchange->isClosed(); });
+    std::erase_if(this->running, [](const Stream& stream) { return stream.exchange->isClosed(); });
+    while (!this->waiting.empty() && static_cast<std::int64_t>(this->running.size()) < this->options.slots)
+        this->running.splice(this->running.end(), this->waiting, this->waiting.begin());
+}
+
+auto EngineStandin::startStep() -> void
+{
+    this->fillSlots();
+    this->noteLoad();
+    if (this->running.empty())
+        return;
+    this->stepTimer.start(std::chrono::duration_cast<std::chrono::microseconds>(this->options.step * this->slowdown));
+}
+
+auto EngineStandin::endStep() -> void
+{
+    if (!this->isFrozen) {
+        this->prefill();
+        this->decode();
+    }
+    this->startStep();
+}
+
+auto EngineStandin::prefill() -> void
+{
+    auto budget = this->options.prefillTokensPerSecond * this->options.step.count() / std::chrono::microseconds(1s).count();
+    for (auto& stream : this->running) {
+        const auto done = std::min(budget, stream.prefillLeft);
+        stream.prefillLeft -= done;
+        budget -= done;
+        this->computedTokens += done;
+    }
+}
+
+auto EngineStandin::decode() -> void
+{
+    for (auto stream = this->running.begin(); stream != this->running.end();) {
+        if (stream->prefillLeft > 0 || stream->exchange->isCongested()) {
+            ++stream;
+            continue;
+        }
+        this->sendToken(*stream);
+        if (stream->next < stream->maxTokens) {
+            ++stream;
+            continue;
+        }
+        const Json summary { { "done", true }, { "tokens", stream->next }, { "computed_prompt_tokens", stream->computedTokens },
+            { "cached_prompt_tokens", stream->cachedTokens } };
+        stream->exchange->sendPiece(summary.dump() + "\n");
+        stream->exchange->endStream();
+        stream = this->running.erase(stream);
+    }
+}
+
+auto EngineStandin::sendToken(Stream& stream) -> void
+{
+    if (!std::exchange(stream.isStreamBegun, true))
+        stream.exchange->beginStream(HttpStatus::ok, { { "Content-Type", "application/x-ndjson" } });
+    if (stream.next >= stream.maxTokens)
+        return;
+    stream.exchange->sendPiece(Json { { "offset", stream.next }, { "text", tokenText(stream.prompt, stream.next) } }.dump() + "\n");
+    ++stream.next;
+    ++this->generatedTokens;
+}
+
+auto EngineStandin::noteLoad() -> void
+{
+    std::int64_t waitingTokens = 0;
+    for (const auto& stream : this->waiting)
+        waitingTokens += stream.prefillLeft;
+    this->loads.push_back({ EventLoop::now() + this->options.loadLag, static_cast<std::int64_t>(this->running.size()),
+        static_cast<std::int64_t>(this->waiting.size()), waitingTokens });
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/standins/kvstandin.cpp
@@ -0,0 +1,216 @@
+#include "kvstandin.h"
+
+#include "units.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto tickPeriod = 20ms;
+constexpr std::string_view leasesPath = "/v1/leases";
+
+auto respond(const std::shared_ptr<HttpExchange>& exchange, int status, const Json& body) -> void
+{
+    exchange->respond({ status, {}, body.dump() });
+}
+
+auto queryNumber(const HttpRequest& request, const std::string& name) -> std::uint64_t
+{
+    return std::strtoull(request.queryValue(name).value_or("0").c_str(), nullptr, 10);
+}
+
+} // namespace
+
+KvStandin::KvStandin(EventLoop& loop)
+    : loop(loop)
+    , server(loop, { .bodyBytes = 2 * mebibyte }, [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
+    , timer(loop, [this] { this->tick(); })
+{
+    this->timer.startRepeating(tickPeriod);
+}
+
+auto KvStandin::listen(const Address& address) -> std::error_code
+{
+    return this->server.listen(address);
+}
+
+auto KvStandin::handle(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    if (exchange->request().path == "/control")
+        return this->control(exchange);
+    if (this->faults.isSilent)
+        return this->watches.push_back({ exchange, "\xff", 0, EventLoop::TimePoint::max() });
+    if (this->faults.isDown)
+        return respond(exchange, HttpStatus::unavailable, { { "error", "down" } });
+    afterDelay(this->loop, this->faults, [this, exchange] { this->serve(exchange); });
+}
+
+auto KvStandin::serve(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto& request = exchange->request();
+    if (request.path == "/v1/kv")
+        return this->get(exchange);
+    if (request.path == "/v1/list")
+        return this->list(exchange);
+    if (request.path == "/v1/swap")
+        return this->compareAndSwap(exchange);
+    if (request.path == "/v1/watch")
+        return this->watch(exchange);
+    if (request.path.starts_with(leasesPath))
+        return this->changeLease(exchange);
+    respond(exchange, HttpStatus::notFound, { { "error", "no such path" } });
+}
+
+auto KvStandin::control(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto& request = exchange->request();
+    if (request.method == "POST") {
+        const auto body = Json::parse(request.body, nullptr, false);
+        if (body.is_object())
+            this->faults.update(body);
+    }
+    respond(exchange, HttpStatus::ok,
+        { { "reads", this->calls.reads }, { "writes", this->calls.writes }, { "watches", this->calls.watches },
+            { "leases", this->calls.leases }, { "waiting_watches", this->watches.size() }, { "revision", this->revision } });
+}
+
+auto KvStandin::get(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    ++this->calls.reads;
+    const auto key = exchange->request().queryValue("key").value_or("");
+    if (!this->values.contains(key))
+        return respond(exchange, HttpStatus::notFound, { { "error", "no such key" } });
+    respond(exchange, HttpStatus::ok, this->entry(key));
+}
+
+auto KvStandin::list(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    ++this->calls.reads;
+    respond(exchange, HttpStatus::ok, this->listing(exchange->request().queryValue("prefix").value_or(""), 0));
+}
+
+auto KvStandin::compareAndSwap(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    ++this->calls.writes;
+    const auto body = Json::parse(exchange->request().body, nullptr, false);
+    if (!body.is_object() || !body.contains("key") || !body.contains("value"))
+        return respond(exchange, HttpStatus::badRequest, { { "error", "bad body" } });
+    const auto result = this->applySwap(body);
+    this->answerWrite(exchange, result["swapped"].get<bool>() ? HttpStatus::ok : HttpStatus::conflict, result);
+}
+
+auto KvStandin::applySwap(const Json& body) -> Json
+{
+    const auto key = body["key"].get<std::string>();
+    const auto lease = body.value("lease", LeaseId { 0 });
+    const auto found = this->values.find(key);
+    const auto current = found == this->values.end() ? 0 : found->second.revision;
+    const auto leaseHolds = lease == 0 || this->leases.contains(lease);
+    if (current != body.value("expected", StoreRevision { 0 }) || !leaseHolds)
+        return { { "swapped", false }, { "current", this->entry(key) } };
+    this->values[key] = { body["value"].get<std::string>(), ++this->revision, lease };
+    this->wakeWatches();
+    return { { "swapped", true }, { "current", this->entry(key) } };
+}
+
+auto KvStandin::answerWrite(const std::shared_ptr<HttpExchange>& exchange, int status, const Json& body) -> void
+{
+    if (this->faults.lostReplies > 0) {
+        --this->faults.lostReplies;
+        return exchange->abort();
+    }
+    respond(exchange, status, body);
+}
+
+auto KvStandin::watch(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    ++this->calls.watches;
+    const auto& request = exchange->request();
+    const auto wait = std::chrono::milliseconds(queryNumber(request, "wait_ms"));
+    this->watches.push_back({ exchange, request.queryValue("prefix").value_or(""), queryNumber(request, "after"), EventLoop::now() + wait });
+    this->wakeWatches();
+}
+
+auto KvStandin::changeLease(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    ++this->calls.leases;
+    const auto& request = exchange->request();
+    if (request.method == "POST") {
+        const auto body = Json::parse(request.body, nullptr, false);
+        const std::chrono::milliseconds duration(body.is_object() ? body.value("duration_ms", std::int64_t { 0 }) : 0);
+        this->leases[this->nextLease] = { duration, EventLoop::now() + duration };
+        return this->answerWrite(exchange, HttpStatus::ok, { { "lease", this->nextLease++ } });
+    }
+    const auto lease = std::strtoull(request.path.substr(leasesPath.size() + 1).c_str(), nullptr, 10);
+    const auto found = this->leases.find(lease);
+    if (found == this->leases.end())
+        return respond(exchange, HttpStatus::notFound, { { "error", "no such lease" } });
+    if (request.method == "DELETE")
+        this->dropLease(lease);
+    else
+        found->second.end = EventLoop::now() + found->second.duration;
+    this->answerWrite(exchange, HttpStatus::ok, { { "lease", lease } });
+}
+
+auto KvStandin::wakeWatches() -> void
+{
+    for (auto watch = this->watches.begin(); watch != this->watches.end();) {
+        const auto changed = this->listing(watch->prefix, watch->after);
+        const auto isDue = !changed["entries"].empty() || watch->end <= EventLoop::now();
+        if (isDue && !watch->exchange->isClosed())
+            respond(watch->exchange, HttpStatus::ok, changed);
+        watch = isDue || watch->exchange->isClosed() ? this->watches.erase(watch) : std::next(watch);
+    }
+}
+
+auto KvStandin::dropLease(LeaseId lease) -> void
+{
+    this->leases.erase(lease);
+    std::erase_if(this->values, [lease](const auto& entry) { return entry.second.lease == lease; });
+}
+
+auto KvStandin::tick() -> void
+{
+    std::vector<LeaseId> lapsed;
+    for (const auto& [id, lease] : this->leases) {
+        if (lease.end <= EventLoop::now())
+            lapsed.push_back(id);
+    }
+    for (const auto id : lapsed)
+        this->dropLease(id);
+
+    for (auto watch = this->watches.begin(); watch != this->watches.end();) {
+        const auto isOver = watch->end <= EventLoop::now() || watch->exchange->isClosed();
+        if (isOver && !watch->exchange->isClosed())
+            respond(watch->exchange, HttpStatus::ok, { { "entries", Json::array() }, { "revision", this->revision } });
+        watch = isOver ? this->watches.erase(watch) : std::next(watch);
+    }
+}
+
+auto KvStandin::listing(const std::string& prefix, StoreRevision after) const -> Json
+{
+    auto entries = Json::array();
+    for (auto value = this->values.lower_bound(prefix); value != this->values.end() && value->first.starts_with(prefix); ++value) {
+        if (value->second.revision > after)
+            entries.push_back(this->entry(value->first));
+    }
+    return { { "entries", std::move(entries) }, { "revision", this->revision } };
+}
+
+auto KvStandin::entry(const std::string& key) const -> Json
+{
+    const auto found = this->values.find(key);
+    if (found == this->values.end())
+        return { { "key", key }, { "value", "" }, { "revision", 0 } };
+    return { { "key", key }, { "value", found->second.text }, { "revision", found->second.revision } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/standins/tokentext.cpp
@@ -0,0 +1,20 @@
+#include "tokentext.h"
+
+#include "hash.h"
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::uint64_t wordCount = 9973;
+constexpr std::uint64_t stride = 7919; ///< Coprime to wordCount, so that neighbours differ.
+
+} // namespace
+
+auto tokenText(std::string_view prompt, std::int64_t offset) -> std::string
+{
+    const auto word = (hash64(prompt) + static_cast<std::uint64_t>(offset) * stride) % wordCount;
+    return "w" + std::to_string(word) + " ";
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/tests/settings/test_nodesettings.cpp
@@ -0,0 +1,75 @@
+#include "nodesettings.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace Primrosefork;
+
+namespace {
+
+using Json = nlohmann::json;
+
+auto validSettings() -> Json
+{
+    return Json::parse(R"({
+        "node": { "id": "n1", "zone": "a", "region": "west" },
+        "listen": { "callers": "127.0.0.1:8080", "operators": "127.0.0.1:8081" },
+        "platform": { "key_value_service": "127.0.0.1:9000", "instance_list": "127.0.0.1:9001" }
+    })");
+}
+
+struct SettingsCase {
+    const char* name;
+    const char* patch; ///< Merged into valid settings.
+    std::vector<Finding> findings;
+};
+
+const SettingsCase settingsCases[] = {
+    { "valid settings", "{}", {} },
+    { "unknown key at the top", R"({"colour": 1})", { { "/colour", "unknown key" } } },
+    { "unknown key below", R"({"node": {"colour": 1}})", { { "/node/colour", "unknown key" } } },
+    { "missing object", R"({"node": null})", { { "/node", "missing" } } },
+    { "wrong type", R"({"node": {"id": 7}})", { { "/node/id", "expected a string" } } },
+    { "name instead of an address", R"({"listen": {"callers": "localhost:80"}})",
+        { { "/listen/callers", "expected a numeric address such as \"127.0.0.1:8080\"" } } },
+    { "duration without its unit", R"({"timeouts": {"store": 5}})",
+        { { "/timeouts/store", "missing unit, write a duration as \"250ms\", \"5s\", \"2m\" or \"1h\"" } } },
+    { "size without its unit", R"({"limits": {"body_size": 5000}})",
+        { { "/limits/body_size", "missing unit, write a size as \"512B\", \"64KiB\" or \"1MiB\"" } } },
+    { "duration out of range", R"({"timeouts": {"store": "2h"}})",
+        { { "/timeouts/store", "out of range, expected 10 to 60000 ms" } } },
+    { "clash of two addresses", R"({"listen": {"operators": "127.0.0.1:8080"}})",
+        { { "/listen/operators", "clashes with /listen/callers: the same address" } } },
+    { "clash of two timeouts", R"({"timeouts": {"backend_connect": "40s"}})",
+        { { "/timeouts/backend_connect", "clashes with /timeouts/backend_first_byte: must not be longer" } } },
+    { "peers without a key", R"({"listen": {"peers": "127.0.0.1:8082"}})",
+        { { "/peers/keys", "needed when /listen/peers is set" } } },
+    { "unknown routing policy", R"({"routing_policy": "best"})",
+        { { "/routing_policy", "expected one of product round-robin least-outstanding least-reported-load" } } },
+    { "several findings in one run", R"({"node": {"id": 7}, "log_level": "loud", "extra": true})",
+        { { "/node/id", "expected a string" }, { "/log_level", "expected one of debug info warn error" }, { "/extra", "unknown key" } } },
+};
+
+TEST_CASE("settings are checked as a whole")
+{
+    for (const auto& row : settingsCases) {
+        CAPTURE(row.name);
+        auto json = validSettings();
+        json.merge_patch(Json::parse(row.patch));
+        Findings findings;
+
+        static_cast<void>(parseNodeSettings(json.dump(), findings));
+
+        INFO("findings: ", formatFindings(findings));
+        CHECK(findings == row.findings);
+    }
+}
+
+TEST_CASE("text that is not JSON is one finding")
+{
+    Findings findings;
+    static_cast<void>(parseNodeSettings("{", findings));
+    CHECK(findings == Findings { { "", "not valid JSON" } });
+}
+
+} // namespace
