Http: Held input to its limits and calls to one sending

Cause: an answer longer than its limit was reported as whole when it came in one piece, since the check ran after the end of the call; and after the last write of an answer evhttp's own error callback was in place again, which calls the request's handler a second time when the connection breaks.

Ruled out for the second: the end by close (EOF), which evhttp treats as the end of the connection; only errors such as a reset reach the handler again.

Change: the limit is checked again at the end of a call; the error callback is put back after every write, the last one included. Tests as tables: 17 inputs (two lengths, length and encoding, limits, half requests, unknown method), four ways of going away, congestion, abort; nine ends of a call, a kept connection that closes under a request, fresh connections, cancelling.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -61,6 +61,7 @@
     [[nodiscard]] auto hasSentBytes() const -> bool override { return this->sentBytes > 0; }
 
 private:
+    [[nodiscard]] auto isTooLarge() const -> bool { return this->options.answerBytes > 0 && this->receivedBytes > this->options.answerBytes; }
     auto watchOutput() -> void;
     auto headersReceived(evhttp_request*) -> void;
     auto piecesReceived(evhttp_request*) -> void;
@@ -151,7 +152,7 @@
     if (this->isDone || size == 0)
         return;
     this->receivedBytes += size;
-    if (this->options.answerBytes > 0 && this->receivedBytes > this->options.answerBytes) {
+    if (this->isTooLarge()) {
         this->client.loop.post([call = this->self] { call->fail(Error::TooLarge); });
         return;
     }
@@ -167,6 +168,10 @@
     this->handle = nullptr;
     if (this->isDone)
         return;
+    if (this->isTooLarge()) {
+        this->release(false);
+        return this->finish(Error::TooLarge);
+    }
     const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) != 0;
     if (!isWhole) {
         this->release(false);
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -199,9 +199,7 @@
     this->addHeaders(response.headers);
     auto* buffer = evbuffer_new();
     evbuffer_add(buffer, response.body.data(), response.body.size());
-    auto* request = this->handle;
-    this->finish();
-    evhttp_send_reply(request, response.status, nullptr, buffer);
+    this->finish([&response, buffer](evhttp_request* request) { evhttp_send_reply(request, response.status, nullptr, buffer); });
     evbuffer_free(buffer);
 }
 
@@ -232,9 +230,7 @@
 {
     if (!this->isStreaming())
         return;
-    auto* request = this->handle;
-    this->finish();
-    evhttp_send_reply_end(request);
+    this->finish(evhttp_send_reply_end);
 }
 
 auto HttpExchange::abort() -> void
@@ -245,9 +241,7 @@
         auto* connection = evhttp_request_get_connection(this->handle);
         shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
     }
-    auto* request = this->handle;
-    this->finish();
-    evhttp_send_reply_end(request);
+    this->finish(evhttp_send_reply_end);
 }
 
 auto HttpExchange::isCongested() const -> bool
@@ -267,15 +261,17 @@
         guardErrors(evhttp_connection_get_bufferevent(connection));
 }
 
-auto HttpExchange::finish() -> void
+auto HttpExchange::finish(const std::function<void(evhttp_request*)>& sendLast) -> void
 {
     this->hasAnswered = true;
-    if (!this->hasClosed) {
+    auto* connection = this->hasClosed ? nullptr : evhttp_request_get_connection(this->handle);
+    if (connection) {
         evhttp_connection_set_closecb(
-            evhttp_request_get_connection(this->handle),
-            [](evhttp_connection* connection, void* owner) { static_cast<HttpServer*>(owner)->requestOver(connection); }, &this->server);
+            connection, [](evhttp_connection* closed, void* owner) { static_cast<HttpServer*>(owner)->requestOver(closed); }, &this->server);
     }
-    this->handle = nullptr;
+    sendLast(std::exchange(this->handle, nullptr));
+    if (connection)
+        guardErrors(evhttp_connection_get_bufferevent(connection));
 }
 
 auto HttpExchange::connectionClosed(evhttp_connection* connection) -> void
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -76,7 +76,7 @@
 
     auto watchConnection() -> void;
     auto guardConnection() -> void;
-    auto finish() -> void;
+    auto finish(const std::function<void(evhttp_request*)>& sendLast) -> void;
     auto connectionClosed(evhttp_connection*) -> void;
     auto addHeaders(const HttpHeaders&) -> void;
 
--- /dev/null
+++ b/tests/http/test_httpclient.cpp
@@ -0,0 +1,207 @@
+#include "blockingclient.h"
+#include "errors.h"
+#include "httpclient.h"
+#include "httpserver.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <doctest/doctest.h>
+#include <memory>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** What a scripted server does with the bytes of each connection. */
+struct Script {
+    const char* answer; ///< Sent once a request has come; may be empty.
+    bool closes; ///< Whether it then closes the connection.
+};
+
+/**
+ * A server that plays one script for each request it gets, and counts them.
+ */
+class ScriptedServer {
+public:
+    ScriptedServer(const Address& address, std::vector<Script> scripts)
+        : scripts(std::move(scripts))
+        , listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    {
+        const int enabled = 1;
+        setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        sockaddr_in name {};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+        this->isListening = bind(this->listener, reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0 && listen(this->listener, 16) == 0;
+    }
+
+    ~ScriptedServer()
+    {
+        for (const auto connection : this->connections)
+            close(connection);
+        close(this->listener);
+    }
+
+    ScriptedServer(const ScriptedServer&) = delete;
+    auto operator=(const ScriptedServer&) -> ScriptedServer& = delete;
+
+    auto poll() -> void
+    {
+        const auto accepted = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted >= 0) {
+            this->connections.push_back(accepted);
+            ++this->acceptedCount;
+        }
+        for (auto& connection : this->connections)
+            this->serve(connection);
+        std::erase(this->connections, -1);
+    }
+
+    bool isListening = false;
+    int acceptedCount = 0;
+    int requestCount = 0;
+
+private:
+    auto serve(int& connection) -> void
+    {
+        std::array<char, 4096> buffer {};
+        const auto size = recv(connection, buffer.data(), buffer.size(), 0);
+        if (size <= 0)
+            return;
+        const auto index = std::min<std::size_t>(static_cast<std::size_t>(this->requestCount++), this->scripts.size() - 1);
+        const auto& script = this->scripts[index];
+        const std::string answer = script.answer;
+        send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        if (script.closes)
+            close(std::exchange(connection, -1));
+    }
+
+    std::vector<Script> scripts;
+    int listener;
+    std::vector<int> connections;
+};
+
+const Address serverAddress { "127.3.2.1", 18'081 };
+constexpr auto okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+struct CallCase {
+    const char* name;
+    std::vector<Script> scripts; ///< Empty: nobody listens.
+    std::error_code error;
+    bool hasSentBytes;
+    int requests; ///< That reached the server.
+};
+
+const CallCase callCases[] = {
+    { "answered", { { okAnswer, false } }, {}, true, 1 },
+    { "nobody listens", {}, Error::ConnectionFailed, false, 0 },
+    { "closed without an answer", { { "", true } }, Error::ConnectionLost, true, 1 },
+    { "closed in the middle of the answer", { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true } }, Error::ConnectionLost, true, 1 },
+    { "closed in the middle of a chunked answer", { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true } }, Error::ConnectionLost, true, 1 },
+    { "silent after the request", { { "", false } }, Error::Timeout, true, 1 },
+    { "silent in the middle of the answer", { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false } }, Error::Timeout, true, 1 },
+    { "answer that is not HTTP", { { "hello\r\n\r\n", true } }, Error::ConnectionLost, true, 1 },
+    { "answer over its limit", { { "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n0123456789012345678901234567890123456789", false } }, Error::TooLarge, true, 1 },
+};
+
+struct Outcome {
+    std::error_code error;
+    HttpResponse response;
+    bool isDone = false;
+};
+
+auto shortCall() -> HttpCallOptions
+{
+    HttpCallOptions options;
+    options.connectTimeout = 300ms;
+    options.firstByteTimeout = 300ms;
+    options.idleTimeout = 300ms;
+    options.answerBytes = 30;
+    return options;
+}
+
+TEST_CASE("a call is sent once and its end told apart")
+{
+    for (const auto& row : callCases) {
+        CAPTURE(std::string(row.name));
+        Testkit::BlockingClient client;
+        std::unique_ptr<ScriptedServer> server;
+        if (!row.scripts.empty()) {
+            server = std::make_unique<ScriptedServer>(serverAddress, row.scripts);
+            REQUIRE(server->isListening);
+        }
+        Outcome outcome;
+        const auto call = client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, "body" }, shortCall(),
+            [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
+
+        CHECK(client.waitUntil([&] {
+            if (server)
+                server->poll();
+            return outcome.isDone;
+        },
+            3s));
+        CHECK(outcome.error == row.error);
+        CHECK(call->hasSentBytes() == row.hasSentBytes);
+        CHECK((server ? server->requestCount : 0) == row.requests);
+    }
+}
+
+TEST_CASE("a request on a kept connection that closes under it is not sent again")
+{
+    Testkit::BlockingClient client;
+    ScriptedServer server(serverAddress, { { okAnswer, false }, { "", true }, { okAnswer, false } });
+    const auto fetch = [&] {
+        Outcome outcome;
+        client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, "body" }, shortCall(),
+            [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
+        client.waitUntil([&] { server.poll(); return outcome.isDone; }, 3s);
+        return outcome;
+    };
+
+    CHECK_FALSE(fetch().error);
+    CHECK(fetch().error == Error::ConnectionLost);
+    CHECK(server.acceptedCount == 1);
+    CHECK(server.requestCount == 2);
+
+    CHECK_FALSE(fetch().error);
+    CHECK(server.acceptedCount == 2);
+    CHECK(server.requestCount == 3);
+}
+
+TEST_CASE("a call that asks for a fresh connection gets one")
+{
+    Testkit::BlockingClient client;
+    ScriptedServer server(serverAddress, { { okAnswer, false } });
+    auto options = shortCall();
+    options.usesFreshConnection = true;
+    for (int count = 1; count <= 3; ++count) {
+        Outcome outcome;
+        client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, "body" }, options,
+            [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
+        CHECK(client.waitUntil([&] { server.poll(); return outcome.isDone; }, 3s));
+        CHECK(server.acceptedCount == count);
+    }
+}
+
+TEST_CASE("a cancelled call tells nothing more and closes its connection")
+{
+    Testkit::BlockingClient client;
+    ScriptedServer server(serverAddress, { { "", false } });
+    Outcome outcome;
+    const auto call = client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, "body" }, shortCall(),
+        [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
+    REQUIRE(client.waitUntil([&] { server.poll(); return server.requestCount == 1; }, 3s));
+
+    call->cancel();
+
+    client.waitUntil([&server] { server.poll(); return false; }, 500ms);
+    CHECK_FALSE(outcome.isDone);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/http/test_httpserver.cpp
@@ -0,0 +1,197 @@
+#include "blockingclient.h"
+#include "httpserver.h"
+#include "rawconnection.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+#include <vector>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Address serverAddress { "127.3.1.1", 18'080 };
+constexpr std::size_t headerLimit = 2048;
+constexpr std::size_t bodyLimit = 1000;
+constexpr auto readTimeout = 300ms;
+
+/** A server that answers every request with its method, path and body size. */
+struct EchoServer {
+    explicit EchoServer(EventLoop& loop)
+        : server(loop, { .headerBytes = headerLimit, .bodyBytes = bodyLimit, .streamBufferBytes = 4096, .readTimeout = readTimeout, .writeTimeout = 5s },
+            [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
+    {
+        this->listenError = this->server.listen(serverAddress);
+    }
+
+    auto handle(const std::shared_ptr<HttpExchange>& exchange) -> void
+    {
+        ++this->handled;
+        const auto& request = exchange->request();
+        if (request.path == "/hold") {
+            exchange->closed.connect([this] { ++this->closed; });
+            this->held.push_back(exchange);
+            return;
+        }
+        exchange->respond({ HttpStatus::ok, {}, request.method + " " + request.path + " " + std::to_string(request.body.size()) });
+    }
+
+    int handled = 0;
+    int closed = 0;
+    std::error_code listenError;
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    HttpServer server;
+};
+
+struct InputCase {
+    const char* name;
+    std::string input;
+    const char* answer; ///< What the answer contains; empty when the connection ends without one.
+    bool endsConnection;
+    int handled; ///< Requests that reach the handler.
+};
+
+const InputCase inputCases[] = {
+    { "whole request", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", "POST /a 3", false, 1 },
+    { "two requests in one packet", "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n", "GET /b 0", false, 2 },
+    { "chunked request", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST /a 3", false, 1 },
+    { "length and encoding together", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400 Bad Request", true, 0 },
+    { "two lengths", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "ambiguous_length", true, 0 },
+    { "length with a sign", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc", "ambiguous_length", true, 0 },
+    { "unknown encoding", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "ambiguous_length", true, 0 },
+    { "two encodings", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400 Bad Request", true, 0 },
+    { "negative length", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n", "400", true, 0 },
+    { "body over the limit", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1001\r\n\r\n", "413", true, 0 },
+    { "chunk over the limit", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n", "413", true, 0 },
+    { "headers over the limit", "GET /a HTTP/1.1\r\nX: " + std::string(headerLimit, 'x') + "\r\n\r\n", "400", true, 0 },
+    { "request line over the limit", "GET /" + std::string(headerLimit, 'x') + " HTTP/1.1\r\n\r\n", "400", true, 0 },
+    { "no request line", "hello\r\n\r\n", "400", true, 0 },
+    { "unknown method", "BREW /a HTTP/1.1\r\nHost: x\r\n\r\n", "501", false, 0 },
+    { "half a header", "GET /a HTTP/1.1\r\nHo", "", true, 0 },
+    { "half a body", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 30\r\n\r\nabc", "", true, 0 },
+};
+
+TEST_CASE("input is answered or refused, and costs no more than its limit")
+{
+    for (const auto& row : inputCases) {
+        CAPTURE(std::string(row.name));
+        Testkit::BlockingClient client;
+        EchoServer echo(client.eventLoop());
+        REQUIRE_FALSE(echo.listenError);
+        Testkit::RawConnection connection(serverAddress);
+
+        connection.send(row.input);
+
+        const auto isOver = [&] {
+            connection.poll();
+            const auto isAnswered = *row.answer && connection.received().find(row.answer) != std::string::npos;
+            return (isAnswered || !*row.answer) && (connection.isEnded() || !row.endsConnection);
+        };
+        const auto isMet = client.waitUntil(isOver, 3s);
+        INFO("received: ", connection.received());
+        CHECK(isMet);
+        CHECK(echo.handled == row.handled);
+    }
+}
+
+TEST_CASE("a client that goes away is noticed before its answer")
+{
+    struct Row {
+        const char* name;
+        bool resets;
+        bool isStreaming;
+    };
+    const Row rows[] = {
+        { "orderly end before the answer", false, false },
+        { "reset before the answer", true, false },
+        { "orderly end in the middle of a stream", false, true },
+        { "reset in the middle of a stream", true, true },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        Testkit::BlockingClient client;
+        EchoServer echo(client.eventLoop());
+        auto connection = std::make_unique<Testkit::RawConnection>(serverAddress);
+        connection->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(client.waitUntil([&echo] { return !echo.held.empty(); }, 2s));
+        if (row.isStreaming) {
+            echo.held[0]->beginStream(HttpStatus::ok, {});
+            echo.held[0]->sendPiece("piece");
+            REQUIRE(client.waitUntil([&] { connection->poll(); return !connection->received().empty(); }, 2s));
+        }
+
+        if (row.resets)
+            connection->reset();
+        connection.reset();
+
+        CHECK(client.waitUntil([&echo] { return echo.closed == 1; }, 2s));
+        CHECK(echo.handled == 1);
+        CHECK(echo.server.openCount() == 0);
+        echo.held[0]->sendPiece("late");
+        echo.held[0]->endStream();
+        echo.held.clear();
+        Testkit::RawConnection next(serverAddress);
+        next.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(client.waitUntil([&next] { next.poll(); return next.received().find("GET /a 0") != std::string::npos; }, 2s));
+    }
+}
+
+TEST_CASE("a client that sends on while it waits costs no more than the limit")
+{
+    Testkit::BlockingClient client;
+    EchoServer echo(client.eventLoop());
+    Testkit::RawConnection connection(serverAddress);
+    connection.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(client.waitUntil([&echo] { return !echo.held.empty(); }, 2s));
+
+    // A next request is read only when the first one is answered.
+    connection.send("GET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+    client.waitUntil([] { return false; }, 50ms);
+    CHECK(echo.handled == 1);
+    echo.held[0]->respond({ HttpStatus::ok, {}, "first" });
+
+    CHECK(client.waitUntil([&] { connection.poll(); return connection.received().find("GET /next 0") != std::string::npos; }, 2s));
+    CHECK(connection.received().find("first") < connection.received().find("GET /next 0"));
+}
+
+TEST_CASE("a client that reads nothing makes its stream congested, and drained when it reads")
+{
+    Testkit::BlockingClient client;
+    EchoServer echo(client.eventLoop());
+    Testkit::RawConnection connection(serverAddress);
+    connection.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(client.waitUntil([&echo] { return !echo.held.empty(); }, 2s));
+    auto& exchange = *echo.held[0];
+    int drained = 0;
+    exchange.drained.connect([&drained] { ++drained; });
+    exchange.beginStream(HttpStatus::ok, {});
+
+    const std::string piece(4096, 'x');
+    REQUIRE(client.waitUntil([&] { exchange.sendPiece(piece); return exchange.isCongested(); }, 20s));
+
+    drained = 0;
+    CHECK(client.waitUntil([&] { connection.poll(); return drained > 0 && !exchange.isCongested(); }, 5s));
+    exchange.endStream();
+    CHECK(client.waitUntil([&] { connection.poll(); return connection.received().ends_with("0\r\n\r\n"); }, 5s));
+}
+
+TEST_CASE("an aborted stream ends without its last chunk")
+{
+    Testkit::BlockingClient client;
+    EchoServer echo(client.eventLoop());
+    Testkit::RawConnection connection(serverAddress);
+    connection.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(client.waitUntil([&echo] { return !echo.held.empty(); }, 2s));
+    echo.held[0]->beginStream(HttpStatus::ok, {});
+    echo.held[0]->sendPiece("piece");
+    REQUIRE(client.waitUntil([&] { connection.poll(); return connection.received().find("piece") != std::string::npos; }, 2s));
+
+    echo.held[0]->abort();
+
+    CHECK(client.waitUntil([&] { connection.poll(); return connection.isEnded(); }, 2s));
+    CHECK_FALSE(connection.received().ends_with("0\r\n\r\n"));
+    CHECK(client.waitUntil([&echo] { return echo.server.openCount() == 0; }, 2s));
+}
+
+} // namespace
--- a/tests/path/test_path.cpp
+++ b/tests/path/test_path.cpp
@@ -55,7 +55,7 @@
     REQUIRE(cluster.start());
 
     for (const auto& row : requestCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         HttpHeaders headers { bearer(row.credential) };
         if (*row.key)
             headers.add("Request-Key", row.key);
@@ -90,7 +90,7 @@
     REQUIRE(cluster.start());
 
     for (const auto& row : streamCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Json body { { "prompt", "hello" }, { "max_tokens", row.tokens }, { "stream", true } };
         if (row.first > 0) {
             body["offset"] = row.first;
--- a/tests/settings/test_nodesettings.cpp
+++ b/tests/settings/test_nodesettings.cpp
@@ -53,7 +53,7 @@
 TEST_CASE("settings are checked as a whole")
 {
     for (const auto& row : settingsCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         auto json = validSettings();
         json.merge_patch(Json::parse(row.patch));
         Findings findings;
