Http: Removed a guard that no test could show to be needed

Change: the read callback is taken out once, when the request arrives; the error callback stays evhttp's.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -111,37 +111,15 @@
     setsockopt(bufferevent_getfd(connection), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
-bufferevent_event_cb libraryEventCallback = nullptr; ///< The one that evhttp sets on every connection.
-
-/**
- * Passes connection errors on to evhttp as the end of the connection: for other
- * errors it would call the request's handler a second time.
- */
-auto closeOnError(bufferevent* connection, short events, void* argument) -> void
-{
-    const auto isError = (events & BEV_EVENT_ERROR) != 0;
-    const auto passed = isError ? (events & ~BEV_EVENT_ERROR) | BEV_EVENT_EOF : events;
-    libraryEventCallback(connection, static_cast<short>(passed), argument);
-}
-
-/** Puts closeOnError() in place of the callback that evhttp sets with each write. */
-auto guardErrors(bufferevent* connection) -> void
+/** Watches for the client's close while its answer is being made, without reading a next request. */
+auto watchForClose(bufferevent* connection, const HttpServerOptions& options) -> void
 {
     bufferevent_data_cb readCallback = nullptr;
     bufferevent_data_cb writeCallback = nullptr;
     bufferevent_event_cb eventCallback = nullptr;
     void* argument = nullptr;
     bufferevent_getcb(connection, &readCallback, &writeCallback, &eventCallback, &argument);
-    if (eventCallback == closeOnError || !eventCallback)
-        return;
-    libraryEventCallback = eventCallback;
-    bufferevent_setcb(connection, nullptr, writeCallback, closeOnError, argument);
-}
-
-/** Watches for the client's close while its answer is being made, without reading a next request. */
-auto watchForClose(bufferevent* connection, const HttpServerOptions& options) -> void
-{
-    guardErrors(connection);
+    bufferevent_setcb(connection, nullptr, writeCallback, eventCallback, argument);
     bufferevent_setwatermark(connection, EV_READ, 0, idleReadBytes);
     const auto writeTimeout = toTimeval(options.writeTimeout);
     bufferevent_set_timeouts(connection, nullptr, &writeTimeout);
@@ -199,7 +177,7 @@
     this->addHeaders(response.headers);
     auto* buffer = evbuffer_new();
     evbuffer_add(buffer, response.body.data(), response.body.size());
-    this->finish([&response, buffer](evhttp_request* request) { evhttp_send_reply(request, response.status, nullptr, buffer); });
+    evhttp_send_reply(this->finish(), response.status, nullptr, buffer);
     evbuffer_free(buffer);
 }
 
@@ -210,7 +188,6 @@
     this->hasBegun = true;
     this->addHeaders(headers);
     evhttp_send_reply_start(this->handle, status, nullptr);
-    this->guardConnection();
 }
 
 auto HttpExchange::sendPiece(std::string_view piece) -> void
@@ -223,14 +200,13 @@
         this->handle, buffer,
         [](evhttp_connection*, void* self) { static_cast<HttpExchange*>(self)->drained.emit(); }, this);
     evbuffer_free(buffer);
-    this->guardConnection();
 }
 
 auto HttpExchange::endStream() -> void
 {
     if (!this->isStreaming())
         return;
-    this->finish(evhttp_send_reply_end);
+    evhttp_send_reply_end(this->finish());
 }
 
 auto HttpExchange::abort() -> void
@@ -241,7 +217,7 @@
         auto* connection = evhttp_request_get_connection(this->handle);
         shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
     }
-    this->finish(evhttp_send_reply_end);
+    evhttp_send_reply_end(this->finish());
 }
 
 auto HttpExchange::isCongested() const -> bool
@@ -253,25 +229,15 @@
     return evbuffer_get_length(output) > this->server.options.streamBufferBytes;
 }
 
-auto HttpExchange::guardConnection() -> void
-{
-    if (this->hasClosed)
-        return;
-    if (auto* connection = evhttp_request_get_connection(this->handle))
-        guardErrors(evhttp_connection_get_bufferevent(connection));
-}
-
-auto HttpExchange::finish(const std::function<void(evhttp_request*)>& sendLast) -> void
+auto HttpExchange::finish() -> evhttp_request*
 {
     this->hasAnswered = true;
-    auto* connection = this->hasClosed ? nullptr : evhttp_request_get_connection(this->handle);
-    if (connection) {
+    if (!this->hasClosed) {
         evhttp_connection_set_closecb(
-            connection, [](evhttp_connection* closed, void* owner) { static_cast<HttpServer*>(owner)->requestOver(closed); }, &this->server);
+            evhttp_request_get_connection(this->handle),
+            [](evhttp_connection* closed, void* owner) { static_cast<HttpServer*>(owner)->requestOver(closed); }, &this->server);
     }
-    sendLast(std::exchange(this->handle, nullptr));
-    if (connection)
-        guardErrors(evhttp_connection_get_bufferevent(connection));
+    return std::exchange(this->handle, nullptr);
 }
 
 auto HttpExchange::connectionClosed(evhttp_connection* connection) -> void
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -75,8 +75,7 @@
     friend class HttpServer;
 
     auto watchConnection() -> void;
-    auto guardConnection() -> void;
-    auto finish(const std::function<void(evhttp_request*)>& sendLast) -> void;
+    auto finish() -> evhttp_request*;
     auto connectionClosed(evhttp_connection*) -> void;
     auto addHeaders(const HttpHeaders&) -> void;
 
