--- a/src/node/lifecyclecontroller.cpp
+++ b/src/node/lifecyclecontroller.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds balancerGrace = 2s; ///< For the balancer to see that the node is not ready.
+constexpr std::chrono::milliseconds handBackTime = 300ms; ///< For the last answers to reach the network.
+constexpr std::chrono::milliseconds reclaimReserve = 500ms; ///< Before the reclaim; notices are late.
 
 } // namespace
 
@@ -25,6 +27,7 @@
     , openCount(std::move(openCount))
     , graceTimer(loop, [this] { this->endAccepting(); })
     , drainTimer(loop, [this] { this->drainTimedOut(); })
+    , lastTimer(loop, [this] { this->finish(); })
 {
     blackboard.configuration.changed.connect([this](const Configuration&) { this->configurationChanged(); });
 }
@@ -42,12 +45,32 @@
         this->log.write(Event::StopRepeated, { { "reason", reason } });
         return;
     }
+    this->beginDrain(this->drainTime, reason);
+}
+
+auto LifecycleController::requestStopBefore(EventLoop::TimePoint deadline, const char* reason, EventLoop::TimePoint now) -> void
+{
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now) - reclaimReserve;
+    const auto time = std::clamp(remaining, 0ms, this->drainTime);
+    const auto current = this->lifecycle.value();
+    if (current != Lifecycle::Draining && current != Lifecycle::Stopped)
+        return this->beginDrain(time, reason);
+    if (current == Lifecycle::Draining && now + time < this->drainEnd) {
+        this->drainEnd = now + time;
+        this->drainTimer.start(std::max(time - handBackTime, 0ms));
+    }
+}
+
+auto LifecycleController::beginDrain(std::chrono::milliseconds time, const char* reason) -> void
+{
+    const auto current = this->lifecycle.value();
     this->log.write(Event::NodeDraining, { { "reason", reason }, { "open_requests", std::to_string(this->openCount()) } });
     this->lifecycle.write(Lifecycle::Draining);
     if (current == Lifecycle::Starting)
         return this->endAccepting();
-    this->graceTimer.start(std::min(balancerGrace, this->drainTime / 2));
-    this->drainTimer.start(this->drainTime);
+    this->drainEnd = EventLoop::now() + time;
+    this->graceTimer.start(std::min(balancerGrace, time / 2));
+    this->drainTimer.start(std::max(time - handBackTime, 0ms));
 }
 
 auto LifecycleController::endAccepting() -> void
@@ -66,7 +89,10 @@
 auto LifecycleController::drainTimedOut() -> void
 {
     this->log.write(Event::DrainTimedOut, { { "open_requests", std::to_string(this->openCount()) } });
-    this->finish();
+    this->hasEndedAccepting = true;
+    this->acceptingEnded.emit();
+    this->drainEnding.emit();
+    this->lastTimer.start(handBackTime);
 }
 
 auto LifecycleController::finish() -> void
@@ -75,6 +101,7 @@
         return;
     this->graceTimer.stop();
     this->drainTimer.stop();
+    this->lastTimer.stop();
     this->lifecycle.write(Lifecycle::Stopped);
     this->stopped.emit();
 }
--- a/src/node/lifecyclecontroller.h
+++ b/src/node/lifecyclecontroller.h
@@ -25,6 +25,9 @@
     /** Begins the planned stop; asking again changes nothing. */
     auto requestStop(const char* reason) -> void;
 
+    /** Begins the planned stop, or hastens it: the node is gone at \a deadline. */
+    auto requestStopBefore(EventLoop::TimePoint deadline, const char* reason, EventLoop::TimePoint now) -> void;
+
     /** To be called when the last open request is over. */
     auto finishWhenIdle() -> void;
 
@@ -33,6 +36,9 @@
     /** Emitted when the balancer had time to notice: no new connections are to be taken. */
     sigc::signal<void> acceptingEnded;
 
+    /** Emitted when the time is over for what is still open: it is to be handed back. */
+    sigc::signal<void> drainEnding;
+
     /** Emitted when nothing is open any more, or the time for it is over. */
     sigc::signal<void> stopped;
 
@@ -41,6 +47,7 @@
 
 private:
     auto configurationChanged() -> void;
+    auto beginDrain(std::chrono::milliseconds time, const char* reason) -> void;
     auto endAccepting() -> void;
     auto finish() -> void;
     auto drainTimedOut() -> void;
@@ -52,6 +59,8 @@
     std::function<std::size_t()> openCount;
     Timer graceTimer;
     Timer drainTimer;
+    Timer lastTimer;
+    EventLoop::TimePoint drainEnd; ///< Of the planned stop under way.
     bool hasEndedAccepting = false;
 };
 
--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -12,6 +12,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+using namespace std::chrono_literals;
+
 namespace Primrosefork {
 
 namespace {
@@ -20,6 +22,12 @@
 
 constexpr std::size_t prefixBytes = 256; ///< Of the prompt, compared to find cached work.
 constexpr std::size_t streamIdBytes = 16;
+constexpr std::chrono::milliseconds serverWaitPeriod = 50ms; ///< Between two looks for a backend server when there is none.
+constexpr std::chrono::milliseconds serverWaitLimit = 10s; ///< For an answer that has not begun.
+constexpr std::chrono::milliseconds budgetWaitPeriod = 250ms; ///< For a begun answer when no retry is allowed.
+constexpr int maxFailuresInRow = 16; ///< Of a begun answer without a token between them.
+constexpr std::chrono::milliseconds moveStallLimit = 1s; ///< For the first token of a move, while the old engine still speaks.
+constexpr std::chrono::milliseconds moveRetryPeriod = 250ms;
 
 auto toLine(const Json& json) -> std::string
 {
@@ -33,11 +41,23 @@
     return sha256Hex(request.workspace.name + "/" + request.service.name + "/" + request.key).substr(0, 2 * streamIdBytes);
 }
 
-auto attemptEndOf(std::error_code error) -> AttemptEnd
+auto toMicroseconds(EventLoop::TimePoint::duration duration) -> std::chrono::microseconds
+{
+    return std::max(std::chrono::duration_cast<std::chrono::microseconds>(duration), std::chrono::microseconds(0));
+}
+
+/** Returns the policy for moves to another engine; early, so that a failed move can be tried again. */
+auto enginePolicy() -> const StreamMovePolicy&
+{
+    static const SpreadMovePolicy policy({ 0, 500 });
+    return policy;
+}
+
+/** Returns the policy for answers that are handed back because this node leaves; late, so that most finish. */
+auto nodePolicy() -> const StreamMovePolicy&
 {
-    if (!error)
-        return AttemptEnd::Finished;
-    return error == Error::Timeout ? AttemptEnd::Stalled : AttemptEnd::Failed;
+    static const SpreadMovePolicy policy({ 500, 1000 });
+    return policy;
 }
 
 } // namespace
@@ -47,8 +67,11 @@
     , request(std::move(request))
     , exchange(std::move(exchange))
     , onEnd(std::move(onEnd))
-    , retryTimer(context.loop, [this] { this->attempt(); })
+    , retryTimer(context.loop, [this] { this->startFirst(); })
     , deadlineTimer(context.loop, [this] { this->giveUp(Error::Timeout); })
+    , silenceTimer(context.loop, [this] { this->fellSilent(); })
+    , moveTimer(context.loop, [this] { this->moveTimerFired(); })
+    , leaveTimer(context.loop, [this] { this->planLeave(); })
     , streamId(streamIdOf(this->request))
     , nextOffset(this->request.offset)
     , text(this->request.delivered)
@@ -59,26 +82,35 @@
 
 auto ModelRun::begin() -> void
 {
-    const auto remaining = this->request.deadline - EventLoop::now();
-    this->deadlineTimer.start(std::chrono::duration_cast<std::chrono::microseconds>(remaining));
+    this->deadlineTimer.start(toMicroseconds(this->request.deadline - EventLoop::now()));
     this->exchange->drained.connect([this] { this->callerDrained(); });
-    this->attempt();
+    this->startFirst();
+    this->planLeave();
 }
 
 auto ModelRun::callerGone() -> void
 {
-    if (this->generation) {
-        std::exchange(this->generation, nullptr)->cancel();
-        this->context.routing.requestEnded(this->routingRequest(), this->server, AttemptEnd::Cancelled, EventLoop::now());
-    }
     this->end();
 }
 
+auto ModelRun::reclaimNoticed() -> void
+{
+    this->planLeave();
+    this->planMove();
+}
+
+auto ModelRun::nodeLeaving() -> void
+{
+    this->handBack();
+}
+
 auto ModelRun::dumpState() const -> Json
 {
     return { { "id", this->request.id }, { "workspace", this->request.workspace.name }, { "service", this->request.service.name },
-        { "route", this->request.route.path }, { "stream", this->streamId }, { "backend_server", this->server.id },
-        { "attempts", this->attempts }, { "next_offset", this->nextOffset }, { "paused", this->isPaused } };
+        { "route", this->request.route.path }, { "stream", this->streamId },
+        { "backend_server", this->first ? this->first->backendServer().id : "" },
+        { "second_backend_server", this->second ? this->second->backendServer().id : "" },
+        { "attempts", this->attempts }, { "next_offset", this->nextOffset }, { "paused", this->first && this->first->isPaused() } };
 }
 
 auto ModelRun::routingRequest() const -> RoutingRequest
@@ -94,51 +126,121 @@
     return result;
 }
 
-auto ModelRun::attempt() -> void
+auto ModelRun::chooseServer() -> const BackendServer*
 {
-    const auto now = EventLoop::now();
-    auto candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, this->failedServers);
+    std::set<std::string> running;
+    for (const auto& attempt : { this->first, this->second }) {
+        if (attempt)
+            running.insert(attempt->backendServer().id);
+    }
+    auto excluded = this->failedServers;
+    excluded.insert(running.begin(), running.end());
+    auto candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, excluded);
     if (candidates.empty() && !this->failedServers.empty()) {
         this->failedServers.clear();
-        candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, {});
+        candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, running);
     }
-    const auto* chosen = this->context.routing.choose(this->routingRequest(), candidates, now);
-    if (!chosen)
+    return this->context.routing.choose(this->routingRequest(), candidates, EventLoop::now());
+}
+
+auto ModelRun::startAttempt(const BackendServer& server, const Address& importFrom) -> std::shared_ptr<StreamAttempt>
+{
+    const auto attempt = std::make_shared<StreamAttempt>(this->context, this->routingRequest(), server);
+    const auto isRepeated = this->attempts++ > 0 || this->request.offset > 0;
+    StreamAttemptHandlers handlers;
+    handlers.onReady = [this](StreamAttempt& ready) { this->tokensReady(ready); };
+    handlers.onEnd = [this](StreamAttempt& ended, std::error_code error) { this->attemptEnded(ended, error); };
+    attempt->begin({ this->streamId, this->request.prompt, this->request.maxTokens, this->request.service.parameters.priority,
+                       this->nextOffset, this->text, importFrom },
+        isRepeated, std::move(handlers));
+    return attempt;
+}
+
+auto ModelRun::startFirst() -> void
+{
+    if (this->hasEnded)
+        return;
+    const auto* server = this->chooseServer();
+    if (!server)
+        return this->waitForServer();
+    this->engineNoticed.reset();
+    this->abandonedMoves = 0;
+    this->first = this->startAttempt(*server, {});
+    this->watchSilence();
+}
+
+auto ModelRun::waitForServer() -> void
+{
+    const auto waited = EventLoop::now() - this->request.received;
+    if (!this->exchange->isStreaming() && waited > serverWaitLimit)
         return this->giveUp(Error::Unavailable);
+    this->retryTimer.start(serverWaitPeriod);
+}
 
-    this->server = *chosen;
-    ++this->attempts;
-    this->piecesOfAttempt = 0;
-    this->context.metrics.count("attempts_total{kind=\"model\"}");
-    this->context.routing.requestSent(this->routingRequest(), this->server, now);
+auto ModelRun::startSecond(SecondReason reason) -> bool
+{
+    const auto* server = this->chooseServer();
+    if (!server)
+        return false;
+    this->secondReason = reason;
+    const auto importFrom = reason == SecondReason::Reclaim ? this->first->backendServer().address : Address {};
+    this->second = this->startAttempt(*server, importFrom);
+    this->context.metrics.count(reason == SecondReason::Reclaim ? "second_attempts_total{reason=\"reclaim\"}" : "second_attempts_total{reason=\"silence\"}");
+    return true;
+}
 
-    GenerationHandlers handlers;
-    handlers.onPiece = [this](const GeneratedPiece& piece) { this->pieceReceived(piece); };
-    handlers.onDone = [this](std::error_code error, const GenerationSummary& summary) { this->attemptEnded(error, summary); };
-    const auto& timeouts = this->context.settings.timeouts;
-    this->generation = this->context.engines.generate(this->server.address,
-        { this->streamId, this->request.prompt, this->request.maxTokens, this->request.service.parameters.priority, this->nextOffset, this->text },
-        { timeouts.backendConnect, timeouts.backendFirstByte, timeouts.backendIdle }, std::move(handlers));
+auto ModelRun::tokensReady(StreamAttempt& attempt) -> void
+{
+    if (&attempt == this->second.get())
+        this->promoteSecond(this->secondReason == SecondReason::Silence ? AttemptEnd::Stalled : AttemptEnd::Cancelled);
+    else if (this->second && this->secondReason == SecondReason::Silence)
+        this->dropSecond();
+    // Tokens of an engine that is left are kept until the next one speaks, or is given up.
+    if (!this->second)
+        this->deliverReady();
 }
 
-auto ModelRun::pieceReceived(const GeneratedPiece& piece) -> void
+auto ModelRun::promoteSecond(AttemptEnd endOfFirst) -> void
 {
-    const auto now = EventLoop::now();
-    if (this->piecesOfAttempt++ == 0) {
-        this->context.metrics.observe("first_piece_seconds", now - this->request.received);
-        this->context.routing.firstPieceReceived(this->routingRequest(), this->server, now);
-    } else {
-        this->context.routing.pieceReceived(this->routingRequest(), this->server, 1, now);
-    }
-    if (piece.offset != this->nextOffset) {
-        std::exchange(this->generation, nullptr)->cancel();
-        return this->attemptEnded(Error::BadAnswer, {});
-    }
+    if (endOfFirst == AttemptEnd::Stalled)
+        this->failedServers.insert(this->first->backendServer().id);
+    if (this->secondReason == SecondReason::Reclaim)
+        this->context.log.write(Event::StreamMoved, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) },
+                                                        { "from", this->first->backendServer().id }, { "to", this->second->backendServer().id } });
+    this->discard(std::exchange(this->first, std::exchange(this->second, nullptr)), endOfFirst);
+    this->moveTimer.stop();
+    this->engineNoticed.reset();
+    this->abandonedMoves = 0;
+    this->planMove();
+}
 
-    ++this->nextOffset;
-    this->text += piece.text;
-    if (this->request.isStreamed)
-        this->deliver(toLine({ { "offset", piece.offset }, { "text", piece.text } }));
+auto ModelRun::dropSecond() -> void
+{
+    this->discard(std::exchange(this->second, nullptr), AttemptEnd::Cancelled);
+}
+
+auto ModelRun::discard(std::shared_ptr<StreamAttempt> attempt, AttemptEnd end) -> void
+{
+    if (!attempt)
+        return;
+    attempt->cancel(end);
+    // The attempt may be on the call stack.
+    this->context.loop.post([attempt = std::move(attempt)] {});
+}
+
+auto ModelRun::deliverReady() -> void
+{
+    while (this->first && this->first->isReady()) {
+        if (this->nextOffset == this->request.offset)
+            this->context.metrics.observe("first_piece_seconds", EventLoop::now() - this->request.received);
+        const auto piece = this->first->take();
+        this->text += piece;
+        this->failuresInRow = 0;
+        const auto offset = this->nextOffset++;
+        if (this->request.isStreamed)
+            this->deliver(toLine({ { "offset", offset }, { "text", piece } }));
+    }
+    this->watchSilence();
 }
 
 auto ModelRun::deliver(const std::string& line) -> void
@@ -146,41 +248,154 @@
     if (!this->exchange->isStreaming())
         this->exchange->beginStream(HttpStatus::ok, { { "Content-Type", "application/x-ndjson" }, { "Stream-Id", this->streamId } });
     this->exchange->sendPiece(line);
-    if (this->exchange->isCongested() && !this->isPaused && this->generation) {
-        this->isPaused = true;
-        this->generation->pause();
-    }
+    if (this->exchange->isCongested() && this->first)
+        this->first->pause();
 }
 
 auto ModelRun::callerDrained() -> void
 {
-    if (!this->isPaused)
+    if (this->hasEnded || !this->first || !this->first->isPaused())
         return;
-    this->isPaused = false;
-    if (this->generation)
-        this->generation->resume();
+    this->first->resume();
+    this->watchSilence();
 }
 
-auto ModelRun::attemptEnded(std::error_code error, const GenerationSummary& summary) -> void
+auto ModelRun::attemptEnded(StreamAttempt& attempt, std::error_code error) -> void
 {
-    this->generation.reset();
-    const auto now = EventLoop::now();
-    this->context.routing.requestEnded(this->routingRequest(), this->server, attemptEndOf(error), now);
-    this->context.metrics.count("prompt_tokens_total{source=\"computed\"}", static_cast<std::uint64_t>(summary.computedPromptTokens));
-    this->context.metrics.count("prompt_tokens_total{source=\"cached\"}", static_cast<std::uint64_t>(summary.cachedPromptTokens));
-    if (!error)
-        return this->finish(summary);
-
-    this->failedServers.insert(this->server.id);
-    this->context.log.write(Event::AttemptFailed,
-        { { "backend_server", this->server.id }, { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "error", error.message() } });
-    const auto delay = this->context.retries.retryDelay(this->attempts, now);
-    if (!delay)
+    const auto& server = attempt.backendServer();
+    if (error) {
+        this->failedServers.insert(server.id);
+        this->context.log.write(Event::AttemptFailed,
+            { { "backend_server", server.id }, { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "error", error.message() } });
+    }
+    if (&attempt == this->second.get()) {
+        if (!error)
+            this->promoteSecond(AttemptEnd::Cancelled);
+        else
+            this->dropSecond();
+    } else if (this->second && error) {
+        this->promoteSecond(AttemptEnd::Failed);
+        return this->watchSilence();
+    }
+    if (!error) {
+        this->dropSecond();
+        this->deliverReady();
+        return this->finish();
+    }
+    if (&attempt != this->first.get()) {
+        this->deliverReady();
+        return this->planMove();
+    }
+    this->discard(std::exchange(this->first, nullptr), AttemptEnd::Failed);
+    this->retryAfter(error);
+}
+
+auto ModelRun::retryAfter(std::error_code error) -> void
+{
+    this->silenceTimer.stop();
+    this->moveTimer.stop();
+    ++this->failuresInRow;
+    const auto delay = this->context.retries.retryDelay(this->failuresInRow, EventLoop::now());
+    if (delay)
+        return this->retryTimer.start(*delay);
+    // An answer that has begun is worth waiting for the budget.
+    if (!this->exchange->isStreaming() || this->failuresInRow >= maxFailuresInRow)
         return this->giveUp(error);
-    this->retryTimer.start(*delay);
+    this->retryTimer.start(budgetWaitPeriod);
+}
+
+auto ModelRun::watchSilence() -> void
+{
+    if (this->hasEnded || !this->first || this->first->isPaused()) {
+        this->silenceTimer.stop();
+        return;
+    }
+    const auto& speaking = this->second ? *this->second : *this->first;
+    this->silenceTimer.start(speaking.pace().silenceLimit());
+}
+
+auto ModelRun::fellSilent() -> void
+{
+    if (this->hasEnded || !this->first || this->first->isPaused())
+        return;
+    if (this->second && this->secondReason == SecondReason::Reclaim)
+        return this->watchSilence();
+    if (!this->context.retries.retryDelay(this->failuresInRow + 1, EventLoop::now()))
+        return this->watchSilence();
+    if (this->second)
+        this->promoteSecond(AttemptEnd::Stalled);
+    if (this->startSecond(SecondReason::Silence)) {
+        ++this->failuresInRow;
+        this->context.log.write(Event::StreamSilent, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) },
+                                                         { "backend_server", this->first->backendServer().id }, { "asked", this->second->backendServer().id } });
+    }
+    this->watchSilence();
+}
+
+auto ModelRun::movingStream(const ReclaimNotice& notice) -> MovingStream
+{
+    MovingStream stream;
+    stream.hash = hash64(this->streamId);
+    stream.tokensLeft = this->request.maxTokens - this->nextOffset;
+    stream.tokenGap = this->first ? this->first->pace().tokenGap() : StreamPace({}, 0).tokenGap();
+    stream.deadline = notice.deadline;
+    stream.abandonedMoves = this->abandonedMoves;
+    return stream;
 }
 
-auto ModelRun::finish(const GenerationSummary& /*summary*/) -> void
+auto ModelRun::planMove() -> void
+{
+    if (this->hasEnded || !this->first || this->second)
+        return;
+    const auto& notices = this->context.blackboard.reclaimNotices.value();
+    const auto notice = notices.find(this->first->backendServer().id);
+    if (notice == notices.end())
+        return;
+    const auto now = EventLoop::now();
+    auto stream = this->movingStream(notice->second);
+    stream.noticed = this->engineNoticed.value_or(now);
+    this->engineNoticed = stream.noticed;
+    const auto decision = enginePolicy().decide(stream, now);
+    if (decision.action != MoveAction::MoveNow)
+        return this->moveTimer.start(toMicroseconds(decision.when - now));
+    this->moveTimer.start(this->startSecond(SecondReason::Reclaim) ? moveStallLimit : moveRetryPeriod);
+}
+
+auto ModelRun::moveTimerFired() -> void
+{
+    if (this->second && this->secondReason == SecondReason::Reclaim && this->first) {
+        const auto& notices = this->context.blackboard.reclaimNotices.value();
+        const auto notice = notices.find(this->first->backendServer().id);
+        if (notice == notices.end() || !enginePolicy().mayAbandon(this->movingStream(notice->second), EventLoop::now()))
+            return;
+        this->context.metrics.count("moves_abandoned_total");
+        ++this->abandonedMoves;
+        this->dropSecond();
+        this->deliverReady();
+        return this->moveTimer.start(moveRetryPeriod);
+    }
+    if (this->second)
+        return this->moveTimer.start(moveRetryPeriod);
+    this->planMove();
+}
+
+auto ModelRun::planLeave() -> void
+{
+    const auto& notices = this->context.blackboard.reclaimNotices.value();
+    const auto notice = notices.find(this->context.settings.id);
+    if (this->hasEnded || notice == notices.end())
+        return;
+    const auto now = EventLoop::now();
+    auto stream = this->movingStream(notice->second);
+    stream.noticed = this->nodeNoticed.value_or(now);
+    this->nodeNoticed = stream.noticed;
+    const auto decision = nodePolicy().decide(stream, now);
+    if (decision.action == MoveAction::MoveNow)
+        return this->handBack();
+    this->leaveTimer.start(toMicroseconds(decision.when - now));
+}
+
+auto ModelRun::finish() -> void
 {
     if (this->request.isStreamed) {
         this->deliver(toLine({ { "done", true }, { "tokens", this->nextOffset } }));
@@ -193,14 +408,30 @@
     this->end();
 }
 
-auto ModelRun::giveUp(std::error_code error) -> void
+auto ModelRun::handBack() -> void
 {
     if (this->hasEnded)
         return;
-    if (this->generation) {
-        std::exchange(this->generation, nullptr)->cancel();
-        this->context.routing.requestEnded(this->routingRequest(), this->server, AttemptEnd::Cancelled, EventLoop::now());
+    this->context.log.write(Event::AnswerHandedBack, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) } });
+    this->context.metrics.count("requests_total{kind=\"model\",outcome=\"handed_back\"}");
+    if (this->exchange->isStreaming()) {
+        this->exchange->abort();
+        return this->end();
+    }
+    const auto execution = this->attempts == 0 ? Execution::NotRun : Execution::Unknown;
+    Json body { { "error", "node_leaving" }, { "execution", nameOf(execution) }, { "message", "the node is leaving; ask again from the offset" } };
+    if (this->nextOffset > 0) {
+        body["offset"] = this->nextOffset;
+        body["delivered"] = this->text;
     }
+    this->exchange->respond({ HttpStatus::unavailable, { { "Content-Type", "application/json" }, { "Retry-After", "0" } }, toLine(body) });
+    this->end();
+}
+
+auto ModelRun::giveUp(std::error_code error) -> void
+{
+    if (this->hasEnded)
+        return;
     if (this->exchange->isStreaming()) {
         this->context.log.write(Event::AnswerCutOff, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "error", error.message() } });
         this->context.metrics.count("requests_total{kind=\"model\",outcome=\"cut_off\"}");
@@ -224,8 +455,10 @@
 {
     if (std::exchange(this->hasEnded, true))
         return;
-    this->deadlineTimer.stop();
-    this->retryTimer.stop();
+    this->discard(std::exchange(this->first, nullptr), AttemptEnd::Cancelled);
+    this->dropSecond();
+    for (auto* timer : { &this->deadlineTimer, &this->retryTimer, &this->silenceTimer, &this->moveTimer, &this->leaveTimer })
+        timer->stop();
     this->onEnd(this->nextOffset - this->request.offset);
 }
 
--- a/src/node/modelrun.h
+++ b/src/node/modelrun.h
@@ -1,14 +1,15 @@
 #pragma once
 
-#include "backendserver.h"
 #include "callerrequest.h"
-#include "engine.h"
 #include "eventloop.h"
 #include "requestcontext.h"
 #include "requestrun.h"
 #include "routingpolicy.h"
+#include "streamattempt.h"
+#include "streammovepolicy.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -18,7 +19,12 @@
 
 /**
  * Streams the answer of a model engine to a caller, and goes on with another
- * engine when one fails in the middle.
+ * engine when one fails, falls silent or is to be reclaimed.
+ *
+ * A second attempt starts at the next token that the caller needs, while the
+ * first one goes on. The caller gets the tokens of the attempt that speaks
+ * first, and from then on of it alone, so that the answer stays of one piece
+ * also with engines that would not choose the same tokens twice.
  */
 class ModelRun : public RequestRun {
 public:
@@ -27,18 +33,44 @@
 
     auto begin() -> void override;
     auto callerGone() -> void override;
+    auto reclaimNoticed() -> void override;
+    auto nodeLeaving() -> void override;
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
 private:
-    auto attempt() -> void;
-    auto pieceReceived(const GeneratedPiece&) -> void;
-    auto attemptEnded(std::error_code, const GenerationSummary&) -> void;
+    /** Why there is a second attempt. */
+    enum class SecondReason {
+        Silence, ///< The first one says nothing.
+        Reclaim, ///< The engine of the first one is to be reclaimed.
+    };
+
+    auto startFirst() -> void;
+    auto startSecond(SecondReason) -> bool;
+    [[nodiscard]] auto startAttempt(const BackendServer&, const Address& importFrom) -> std::shared_ptr<StreamAttempt>;
+    [[nodiscard]] auto chooseServer() -> const BackendServer*;
+    auto waitForServer() -> void;
+    auto tokensReady(StreamAttempt&) -> void;
+    auto attemptEnded(StreamAttempt&, std::error_code) -> void;
+    auto retryAfter(std::error_code) -> void;
+    auto promoteSecond(AttemptEnd endOfFirst) -> void;
+    auto dropSecond() -> void;
+    auto discard(std::shared_ptr<StreamAttempt>, AttemptEnd) -> void;
+    auto deliverReady() -> void;
     auto deliver(const std::string& line) -> void;
-    auto finish(const GenerationSummary&) -> void;
+    auto callerDrained() -> void;
+
+    auto watchSilence() -> void;
+    auto fellSilent() -> void;
+    auto planLeave() -> void;
+    auto planMove() -> void;
+    auto moveTimerFired() -> void;
+    [[nodiscard]] auto movingStream(const ReclaimNotice&) -> MovingStream;
+
+    auto finish() -> void;
     auto giveUp(std::error_code) -> void;
+    auto handBack() -> void;
     auto refuse(const Refusal&) -> void;
     auto end() -> void;
-    auto callerDrained() -> void;
     [[nodiscard]] auto routingRequest() const -> RoutingRequest;
 
     RequestContext context;
@@ -47,15 +79,21 @@
     EndHandler onEnd;
     Timer retryTimer;
     Timer deadlineTimer;
+    Timer silenceTimer;
+    Timer moveTimer;
+    Timer leaveTimer;
     std::string streamId;
     std::int64_t nextOffset; ///< Of the token that is delivered next.
     std::string text; ///< Of all tokens before nextOffset.
-    std::shared_ptr<Generation> generation;
-    BackendServer server; ///< Of the present attempt.
+    std::shared_ptr<StreamAttempt> first;
+    std::shared_ptr<StreamAttempt> second; ///< Its first token ends the first attempt.
+    SecondReason secondReason = SecondReason::Silence;
     std::set<std::string> failedServers;
+    std::optional<EventLoop::TimePoint> engineNoticed; ///< When the reclaim of the first attempt's engine was seen.
+    std::optional<EventLoop::TimePoint> nodeNoticed;
     int attempts = 0;
-    std::size_t piecesOfAttempt = 0;
-    bool isPaused = false;
+    int failuresInRow = 0; ///< Since the last token.
+    int abandonedMoves = 0; ///< Of the first attempt's engine.
     bool hasEnded = false;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -42,6 +42,7 @@
 {
     this->callerServer.becameIdle().connect([this] { this->lifecycle.finishWhenIdle(); });
     this->lifecycle.acceptingEnded.connect([this] { this->callerServer.stopAccepting(); });
+    this->lifecycle.drainEnding.connect([this] { this->requests.leave(); });
     this->lifecycle.stopped.connect([this] {
         this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
         this->loop.post([this] { this->loop.stop(); });
@@ -49,8 +50,10 @@
     this->blackboard.loadReports.changed.connect(
         [this](const LoadReports& reports) { this->routing->loadReported(reports, EventLoop::now()); });
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
-        if (current.contains(this->settings.id))
-            this->lifecycle.requestStop("reclaim notice");
+        const auto own = current.find(this->settings.id);
+        if (own != current.end())
+            this->lifecycle.requestStopBefore(own->second.deadline, "reclaim notice", EventLoop::now());
+        this->requests.reclaimNoticed();
     });
 }
 
--- a/src/node/requestcontroller.cpp
+++ b/src/node/requestcontroller.cpp
@@ -119,6 +119,23 @@
         found->second->callerGone();
 }
 
+auto RequestController::reclaimNoticed() -> void
+{
+    for (const auto& [id, run] : this->runs)
+        run->reclaimNoticed();
+}
+
+auto RequestController::leave() -> void
+{
+    const auto unadmitted = std::exchange(this->waiting, {});
+    for (const auto& [id, entry] : unadmitted) {
+        this->admission.withdraw(id);
+        this->refuse(entry.exchange, { HttpStatus::unavailable, "node_leaving", Execution::NotRun, "the node is leaving; ask again" });
+    }
+    for (const auto& [id, run] : this->runs)
+        run->nodeLeaving();
+}
+
 auto RequestController::runEnded(std::uint64_t id, std::int64_t tokens) -> void
 {
     // The run is still on the call stack.
--- a/src/node/requestcontroller.h
+++ b/src/node/requestcontroller.h
@@ -26,6 +26,12 @@
     /** Takes the request of \a exchange and answers it sooner or later. */
     auto handle(const std::shared_ptr<HttpExchange>& exchange) -> void;
 
+    /** Tells the runs that the reclaim notices were replaced. */
+    auto reclaimNoticed() -> void;
+
+    /** Hands back what is not finished, because the node is about to end. */
+    auto leave() -> void;
+
     /** Returns how many requests wait or run. */
     [[nodiscard]] auto openCount() const -> std::size_t { return this->waiting.size() + this->runs.size(); }
 
--- a/src/node/requestrun.h
+++ b/src/node/requestrun.h
@@ -21,6 +21,12 @@
     /** The caller went away: ends the work that may be ended. */
     virtual auto callerGone() -> void = 0;
 
+    /** The reclaim notices were replaced. */
+    virtual auto reclaimNoticed() -> void { }
+
+    /** The node is about to end: gives the caller a clean place to ask again. */
+    virtual auto nodeLeaving() -> void { }
+
     [[nodiscard]] virtual auto dumpState() const -> nlohmann::json = 0;
 };
 
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -27,6 +27,9 @@
     EventDescription { Event::ReclaimNoticed, Severity::Warning, "reclaimNoticed" },
     EventDescription { Event::AttemptFailed, Severity::Warning, "attemptFailed" },
     EventDescription { Event::AnswerCutOff, Severity::Error, "answerCutOff" },
+    EventDescription { Event::StreamMoved, Severity::Info, "streamMoved" },
+    EventDescription { Event::StreamSilent, Severity::Warning, "streamSilent" },
+    EventDescription { Event::AnswerHandedBack, Severity::Info, "answerHandedBack" },
 };
 
 } // namespace
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -37,6 +37,9 @@
     ReclaimNoticed = 3104,
     AttemptFailed = 4001,
     AnswerCutOff = 4002,
+    StreamMoved = 4003,
+    StreamSilent = 4004,
+    AnswerHandedBack = 4005,
 };
 
 /** The fixed part of one event. */
--- a/src/platform/engine.h
+++ b/src/platform/engine.h
@@ -25,6 +25,7 @@
     std::int64_t priority = 5;
     std::int64_t offset = 0; ///< Index of the first token wanted.
     std::string delivered; ///< Text of the tokens before \a offset.
+    Address importFrom; ///< Engine that runs the stream now, to fetch its KV cache from; port 0 when there is none.
 };
 
 /** One token of a stream. */
@@ -42,6 +43,7 @@
 
 /** What a generation tells its owner. */
 struct GenerationHandlers {
+    std::function<void(const GenerationSummary&)> onBegin; ///< Called before the first piece by engines that tell their prompt tokens then.
     std::function<void(const GeneratedPiece&)> onPiece;
     std::function<void(std::error_code, const GenerationSummary&)> onDone; ///< Called last and once, but not after cancel().
 };
--- a/src/platform/httpengines.cpp
+++ b/src/platform/httpengines.cpp
@@ -4,6 +4,7 @@
 #include "linesplitter.h"
 #include "units.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -17,7 +18,7 @@
 
 auto toHttp(const GenerationRequest& request) -> HttpRequest
 {
-    const Json body {
+    Json body {
         { "stream", request.streamId },
         { "prompt", request.prompt },
         { "max_tokens", request.maxTokens },
@@ -25,21 +26,34 @@
         { "offset", request.offset },
         { "delivered", request.delivered },
     };
+    if (request.importFrom.port != 0)
+        body["import_from"] = request.importFrom.toString();
     return { "POST", "/v1/generate", "", { { "Content-Type", "application/json" } }, body.dump(-1, ' ', false, Json::error_handler_t::replace) };
 }
 
+auto readCount(const HttpHeaders& headers, const std::string& name) -> std::int64_t
+{
+    const auto text = headers.get(name).value_or("");
+    std::int64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
 /**
  * A generation on one HTTP call.
  */
 class HttpGeneration : public Generation, public std::enable_shared_from_this<HttpGeneration> {
 public:
-    explicit HttpGeneration(GenerationHandlers handlers)
-        : handlers(std::move(handlers))
+    HttpGeneration(HttpClient& client, Address engine, std::string streamId, GenerationHandlers handlers)
+        : client(client)
+        , engine(std::move(engine))
+        , streamId(std::move(streamId))
+        , handlers(std::move(handlers))
         , lines(maxLineBytes)
     {
     }
 
-    auto begin(HttpClient& client, const Address& engine, const GenerationRequest& request, const GenerationTimeouts& timeouts) -> void
+    auto begin(const GenerationRequest& request, const GenerationTimeouts& timeouts) -> void
     {
         HttpCallOptions options;
         options.connectTimeout = timeouts.connect;
@@ -48,17 +62,22 @@
         options.answerBytes = 0;
         HttpCallHandlers callHandlers;
         const auto self = this->shared_from_this();
-        callHandlers.onHeaders = [self](int status, const HttpHeaders&) { self->status = status; };
+        callHandlers.onHeaders = [self](int status, const HttpHeaders& headers) { self->begun(status, headers); };
         callHandlers.onPiece = [self](std::string_view piece) { self->received(piece); };
         callHandlers.onDone = [self](std::error_code error) { self->ended(error); };
-        this->call = client.send(engine, toHttp(request), options, std::move(callHandlers));
+        this->call = this->client.send(this->engine, toHttp(request), options, std::move(callHandlers));
     }
 
     auto cancel() -> void override
     {
         this->isDone = true;
-        if (const auto running = std::exchange(this->call, nullptr))
-            running->cancel();
+        const auto running = std::exchange(this->call, nullptr);
+        if (!running)
+            return;
+        running->cancel();
+        // Connections kept from before may be as silent as this one was.
+        if (this->status == 0)
+            this->client.dropIdleConnections(this->engine);
     }
 
     auto pause() -> void override
@@ -74,9 +93,23 @@
     }
 
 private:
+    auto begun(int answered, const HttpHeaders& headers) -> void
+    {
+        this->status = answered;
+        if (answered != HttpStatus::ok)
+            return;
+        if (headers.get("Stream-Id").value_or(this->streamId) != this->streamId)
+            return this->stop(Error::BadAnswer);
+        this->summary.computedPromptTokens = readCount(headers, "Computed-Prompt-Tokens");
+        this->summary.cachedPromptTokens = readCount(headers, "Cached-Prompt-Tokens");
+        if (this->handlers.onBegin)
+            this->handlers.onBegin(this->summary);
+    }
+
     auto received(std::string_view piece) -> void
     {
-        if (this->status != HttpStatus::ok)
+        const auto self = this->shared_from_this();
+        if (this->isDone || this->status != HttpStatus::ok)
             return;
         const auto error = this->lines.add(piece, [this](std::string_view line) { return this->readLine(line); });
         if (error)
@@ -87,7 +120,9 @@
     {
         const auto json = Json::parse(line, nullptr, false);
         try {
-            if (json.is_object() && json.contains("done"))
+            if (json.is_object() && json.value("stream", this->streamId) != this->streamId)
+                this->stop(Error::BadAnswer);
+            else if (json.is_object() && json.contains("done"))
                 this->readSummary(json);
             else
                 this->handlers.onPiece({ json.at("offset").get<std::int64_t>(), json.at("text").get<std::string>() });
@@ -100,8 +135,8 @@
     auto readSummary(const Json& json) -> void
     {
         this->summary.tokens = json.at("tokens").get<std::int64_t>();
-        this->summary.computedPromptTokens = json.value("computed_prompt_tokens", std::int64_t { 0 });
-        this->summary.cachedPromptTokens = json.value("cached_prompt_tokens", std::int64_t { 0 });
+        this->summary.computedPromptTokens = json.value("computed_prompt_tokens", this->summary.computedPromptTokens);
+        this->summary.cachedPromptTokens = json.value("cached_prompt_tokens", this->summary.cachedPromptTokens);
         this->isWhole = true;
     }
 
@@ -124,6 +159,9 @@
         this->handlers.onDone(error, this->summary);
     }
 
+    HttpClient& client;
+    Address engine;
+    std::string streamId;
     GenerationHandlers handlers;
     LineSplitter lines;
     std::shared_ptr<HttpCall> call;
@@ -144,8 +182,8 @@
 auto HttpEngines::generate(const Address& engine, const GenerationRequest& request, const GenerationTimeouts& timeouts, GenerationHandlers handlers)
     -> std::shared_ptr<Generation>
 {
-    const auto generation = std::make_shared<HttpGeneration>(std::move(handlers));
-    generation->begin(this->client, engine, request, timeouts);
+    const auto generation = std::make_shared<HttpGeneration>(this->client, engine, request.streamId, std::move(handlers));
+    generation->begin(request, timeouts);
     return generation;
 }
 
--- a/src/standins/enginestandin.cpp
+++ b/src/standins/enginestandin.cpp
@@ -16,6 +16,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t bytesPerToken = 4;
+constexpr std::chrono::milliseconds importTimeout = 500ms;
 
 auto tokenCount(const std::string& text) -> std::int64_t
 {
@@ -27,6 +28,7 @@
 EngineStandin::EngineStandin(EventLoop& loop, EngineOptions options)
     : loop(loop)
     , server(loop, { .bodyBytes = 16 * mebibyte }, [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
+    , client(loop)
     , options(std::move(options))
     , stepTimer(loop, [this] { this->endStep(); })
     , cache(this->options.cacheBlocks)
@@ -47,6 +49,8 @@
         return exchange->respond({ HttpStatus::unavailable, {}, R"({"error":"down"})" });
     if (path == "/v1/generate")
         return this->generate(exchange);
+    if (path == "/v1/kv/export")
+        return this->exportCache(exchange);
     if (path == "/v1/load")
         return this->reportLoad(exchange);
     exchange->respond({ HttpStatus::notFound, {}, R"({"error":"no such path"})" });
@@ -59,12 +63,14 @@
         this->faults.update(body);
         this->slowdown = body.value("slowdown", this->slowdown);
         this->isFrozen = body.value("frozen", this->isFrozen);
+        this->isShuffling = body.value("shuffle", this->isShuffling);
+        this->misroutedStreams = body.value("misroute", this->misroutedStreams);
         if (body.value("drop_cache", false))
             this->cache.clear();
     }
     exchange->respond({ HttpStatus::ok, {},
         Json { { "id", this->options.id }, { "running", this->running.size() }, { "waiting", this->waiting.size() },
-            { "computed_prompt_tokens", this->computedTokens }, { "generated_tokens", this->generatedTokens },
+            { "computed_prompt_tokens", this->computedTokens }, { "imported_tokens", this->importedTokens }, { "generated_tokens", this->generatedTokens },
             { "started_streams", this->startedStreams } }
             .dump() });
 }
@@ -81,11 +87,60 @@
     stream.priority = body.value("priority", std::int64_t { 0 });
     stream.maxTokens = body.value("max_tokens", std::int64_t { 1 });
     stream.next = body.value("offset", std::int64_t { 0 });
-    const auto work = stream.prompt + body.value("delivered", "");
-    stream.cachedTokens = this->cache.take(work);
-    stream.prefillLeft = std::max<std::int64_t>(1, tokenCount(work) - stream.cachedTokens);
-    stream.computedTokens = stream.prefillLeft;
+    stream.delivered = body.value("delivered", "");
+    if (this->misroutedStreams > 0) {
+        --this->misroutedStreams;
+        stream.isMisrouted = true;
+    }
     ++this->startedStreams;
+    if (const auto source = parseAddress(body.value("import_from", "")))
+        return this->importCache(*source, std::make_shared<Stream>(std::move(stream)));
+    this->enqueue(std::move(stream));
+}
+
+auto EngineStandin::importCache(const Address& source, std::shared_ptr<Stream> stream) -> void
+{
+    HttpCallOptions callOptions;
+    callOptions.connectTimeout = importTimeout;
+    callOptions.firstByteTimeout = importTimeout;
+    const auto body = Json { { "stream", stream->id } }.dump();
+    this->client.fetch(source, { "POST", "/v1/kv/export", "", {}, body }, callOptions,
+        [this, stream = std::move(stream)](std::error_code error, const HttpResponse& response) {
+            const auto json = Json::parse(response.body, nullptr, false);
+            if (!error && response.status == HttpStatus::ok && json.is_object())
+                stream->importedTokens = json.value("tokens", std::int64_t { 0 });
+            this->enqueue(std::move(*stream));
+        });
+}
+
+auto EngineStandin::exportCache(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto body = Json::parse(exchange->request().body, nullptr, false);
+    const auto* stream = body.is_object() ? this->find(body.value("stream", "")) : nullptr;
+    if (!stream || stream->prefillLeft > 0 || this->options.exportTokensPerSecond == 0)
+        return exchange->respond({ HttpStatus::notFound, {}, R"({"error":"nothing to export"})" });
+    const auto tokens = tokenCount(stream->prompt + stream->delivered);
+    Faults transfer;
+    transfer.delay = std::chrono::milliseconds(tokens * 1000 / this->options.exportTokensPerSecond);
+    afterDelay(this->loop, transfer, [exchange, tokens] {
+        exchange->respond({ HttpStatus::ok, {}, Json { { "tokens", tokens } }.dump() });
+    });
+}
+
+auto EngineStandin::find(const std::string& id) const -> const Stream*
+{
+    const auto found = std::find_if(this->running.begin(), this->running.end(), [&id](const Stream& stream) { return stream.id == id; });
+    return found == this->running.end() ? nullptr : &*found;
+}
+
+auto EngineStandin::enqueue(Stream stream) -> void
+{
+    const auto work = stream.prompt + stream.delivered;
+    const auto total = tokenCount(work);
+    stream.cachedTokens = std::min(total, std::max(this->cache.take(work), stream.importedTokens));
+    stream.prefillLeft = std::max<std::int64_t>(1, total - stream.cachedTokens);
+    stream.computedTokens = stream.prefillLeft;
+    this->importedTokens += std::min(total, stream.importedTokens);
 
     const auto place = std::find_if(this->waiting.begin(), this->waiting.end(),
         [&stream](const Stream& other) { return other.priority < stream.priority; });
@@ -154,25 +209,49 @@
             ++stream;
             continue;
         }
-        const Json summary { { "done", true }, { "tokens", stream->next }, { "computed_prompt_tokens", stream->computedTokens },
-            { "cached_prompt_tokens", stream->cachedTokens } };
-        stream->exchange->sendPiece(summary.dump() + "\n");
-        stream->exchange->endStream();
+        this->endStream(*stream);
         stream = this->running.erase(stream);
     }
 }
 
 auto EngineStandin::sendToken(Stream& stream) -> void
 {
-    if (!std::exchange(stream.isStreamBegun, true))
-        stream.exchange->beginStream(HttpStatus::ok, { { "Content-Type", "application/x-ndjson" } });
+    if (!std::exchange(stream.isStreamBegun, true)) {
+        stream.exchange->beginStream(HttpStatus::ok,
+            { { "Content-Type", "application/x-ndjson" }, { "Stream-Id", stream.isMisrouted ? "another" : stream.id },
+                { "Computed-Prompt-Tokens", std::to_string(stream.computedTokens) }, { "Cached-Prompt-Tokens", std::to_string(stream.cachedTokens) } });
+    }
     if (stream.next >= stream.maxTokens)
         return;
-    stream.exchange->sendPiece(Json { { "offset", stream.next }, { "text", tokenText(stream.prompt, stream.next) } }.dump() + "\n");
+    const auto text = tokenText(stream.isMisrouted ? "another prompt" : stream.prompt, stream.next);
+    const auto line = Json { { "offset", stream.next }, { "text", text } }.dump() + "\n";
+    if (this->isShuffling)
+        this->sendShuffled(stream, line);
+    else
+        stream.exchange->sendPiece(std::exchange(stream.heldLine, "") + line);
+    stream.delivered += text;
     ++stream.next;
     ++this->generatedTokens;
 }
 
+auto EngineStandin::sendShuffled(Stream& stream, const std::string& line) -> void
+{
+    if (stream.heldLine.empty()) {
+        stream.heldLine = line;
+        return;
+    }
+    const auto held = std::exchange(stream.heldLine, "");
+    stream.exchange->sendPiece(line + held + held);
+}
+
+auto EngineStandin::endStream(Stream& stream) -> void
+{
+    const Json summary { { "done", true }, { "tokens", stream.next }, { "computed_prompt_tokens", stream.computedTokens },
+        { "cached_prompt_tokens", stream.cachedTokens } };
+    stream.exchange->sendPiece(stream.heldLine + summary.dump() + "\n");
+    stream.exchange->endStream();
+}
+
 auto EngineStandin::noteLoad() -> void
 {
     std::int64_t waitingTokens = 0;
--- a/src/standins/enginestandin.h
+++ b/src/standins/enginestandin.h
@@ -3,6 +3,7 @@
 #include "address.h"
 #include "eventloop.h"
 #include "faults.h"
+#include "httpclient.h"
 #include "httpserver.h"
 #include "prefixcache.h"
 
@@ -23,6 +24,7 @@
     std::chrono::microseconds step { 20'000 }; ///< One token for each running stream.
     std::size_t cacheBlocks = 1024;
     std::chrono::milliseconds loadLag { 1'000 };
+    std::int64_t exportTokensPerSecond = 0; ///< Of KV cache sent to another engine; 0 is no export.
 };
 
 /**
@@ -41,13 +43,17 @@
         std::string id;
         std::shared_ptr<HttpExchange> exchange;
         std::string prompt;
+        std::string delivered;
+        std::string heldLine; ///< Sent after the one that follows it.
         std::int64_t priority = 0;
         std::int64_t maxTokens = 0;
         std::int64_t next = 0; ///< Offset of the token made next.
         std::int64_t prefillLeft = 0;
         std::int64_t computedTokens = 0;
         std::int64_t cachedTokens = 0;
+        std::int64_t importedTokens = 0;
         bool isStreamBegun = false;
+        bool isMisrouted = false; ///< Names another stream and answers another prompt.
     };
 
     struct Load {
@@ -60,6 +66,10 @@
     auto handle(const std::shared_ptr<HttpExchange>&) -> void;
     auto control(const std::shared_ptr<HttpExchange>&) -> void;
     auto generate(const std::shared_ptr<HttpExchange>&) -> void;
+    auto enqueue(Stream) -> void;
+    auto importCache(const Address& source, std::shared_ptr<Stream>) -> void;
+    auto exportCache(const std::shared_ptr<HttpExchange>&) -> void;
+    [[nodiscard]] auto find(const std::string& id) const -> const Stream*;
     auto reportLoad(const std::shared_ptr<HttpExchange>&) -> void;
     auto fillSlots() -> void;
     auto startStep() -> void;
@@ -67,20 +77,26 @@
     auto prefill() -> void;
     auto decode() -> void;
     auto sendToken(Stream&) -> void;
+    auto sendShuffled(Stream&, const std::string& line) -> void;
+    auto endStream(Stream&) -> void;
     auto noteLoad() -> void;
 
     EventLoop& loop;
     HttpServer server;
+    HttpClient client;
     EngineOptions options;
     Faults faults;
     Timer stepTimer;
     PrefixCache cache;
     double slowdown = 1.0;
     bool isFrozen = false; ///< Takes streams and makes no token.
+    bool isShuffling = false; ///< Sends tokens out of order and twice.
+    std::int64_t misroutedStreams = 0; ///< So many next streams answer another request.
     std::list<Stream> waiting;
     std::list<Stream> running;
     std::deque<Load> loads;
     std::int64_t computedTokens = 0; ///< Prompt tokens, all told.
+    std::int64_t importedTokens = 0; ///< Prompt tokens that came from another engine.
     std::int64_t generatedTokens = 0;
     std::int64_t startedStreams = 0;
 };
--- a/src/standins/world.cpp
+++ b/src/standins/world.cpp
@@ -44,6 +44,7 @@
     options.step = std::chrono::microseconds(json.value("step_us", options.step.count()));
     options.cacheBlocks = json.value("cache_blocks", options.cacheBlocks);
     options.loadLag = std::chrono::milliseconds(json.value("load_lag_ms", options.loadLag.count()));
+    options.exportTokensPerSecond = json.value("export_tokens_per_second", options.exportTokensPerSecond);
     this->engines.push_back(std::make_unique<EngineStandin>(this->loop, options));
     auto* engine = this->engines.back().get();
     this->addListener(json, "address", [engine](const Address& address) { return engine->listen(address); });
--- a/src/testkit/cluster.cpp
+++ b/src/testkit/cluster.cpp
@@ -60,6 +60,7 @@
 Cluster::~Cluster()
 {
     this->nodes.clear();
+    this->engineProcesses.clear();
     this->standinProcess.reset();
     std::filesystem::remove_all(this->folder);
 }
@@ -80,8 +81,37 @@
 auto Cluster::startStandins() -> bool
 {
     this->standinProcess = std::make_unique<Process>(STANDINS_PROGRAM, std::vector<std::string> { "--world", this->path("world.json") }, this->path("standins.log"));
-    return this->blockingClient.waitUntil(
+    const auto isUp = this->blockingClient.waitUntil(
         [this] { return !this->blockingClient.get(this->keyValueService(), "/control").error; }, readyLimit);
+    return isUp && (!this->options.hasProcessPerZone || this->startEngines());
+}
+
+auto Cluster::startEngines() -> bool
+{
+    auto entries = Json::array();
+    for (std::size_t zone = 0; zone < this->options.zones; ++zone) {
+        auto engines = Json::array();
+        for (auto index = zone; index < this->options.engines; index += this->options.zones)
+            engines.push_back(this->describeEngine(index));
+        for (auto entry : engines) {
+            entry["kind"] = "engine";
+            entries.push_back(std::move(entry));
+        }
+        const auto name = "engines-" + this->zone(zone);
+        writeJson(this->path(name + ".json"), { { "engines", std::move(engines) } });
+        this->engineProcesses.push_back(std::make_unique<Process>(
+            STANDINS_PROGRAM, std::vector<std::string> { "--world", this->path(name + ".json") }, this->path(name + ".log")));
+    }
+    this->control(this->instanceList(), { { "put", std::move(entries) } });
+    return this->blockingClient.waitUntil(
+        [this] {
+            for (std::size_t index = 0; index < this->options.engines; ++index) {
+                if (this->blockingClient.get(this->engine(index), "/control").error)
+                    return false;
+            }
+            return true;
+        },
+        readyLimit);
 }
 
 auto Cluster::startNode(std::size_t index) -> void
@@ -179,12 +209,8 @@
 {
     Json world { { "key_value_service", this->keyValueService().toString() }, { "instance_list", this->instanceList().toString() },
         { "cloud_api", this->cloudApi().toString() }, { "engines", Json::array() }, { "plain_services", Json::array() } };
-    for (std::size_t index = 0; index < this->options.engines; ++index) {
-        Json engine { { "id", engineId(index) }, { "address", this->engine(index).toString() }, { "zone", this->zone(index) },
-            { "region", "west" }, { "pool", "assistant" }, { "model", "m1" }, { "version", "1" } };
-        engine.update(this->options.engine);
-        world["engines"].push_back(std::move(engine));
-    }
+    for (std::size_t index = 0; index < this->options.engines && !this->options.hasProcessPerZone; ++index)
+        world["engines"].push_back(this->describeEngine(index));
     for (std::size_t index = 0; index < this->options.plainServices; ++index) {
         Json plain { { "id", plainServiceId(index) }, { "address", this->plainService(index).toString() }, { "zone", this->zone(index) },
             { "region", "west" }, { "pool", "booking" } };
@@ -195,6 +221,14 @@
     writeJson(this->path("world.json"), world);
 }
 
+auto Cluster::describeEngine(std::size_t index) const -> Json
+{
+    Json engine { { "id", engineId(index) }, { "address", this->engine(index).toString() }, { "zone", this->zone(index) },
+        { "region", "west" }, { "pool", "assistant" }, { "model", "m1" }, { "version", "1" } };
+    engine.update(this->options.engine);
+    return engine;
+}
+
 auto Cluster::writeSettings(std::size_t index) -> void
 {
     Json settings {
--- a/src/testkit/cluster.h
+++ b/src/testkit/cluster.h
@@ -19,6 +19,7 @@
     std::size_t engines = 3;
     std::size_t plainServices = 2;
     std::size_t zones = 3; ///< Nodes and backend servers are spread over zones "a", "b", "c" and so on.
+    bool hasProcessPerZone = false; ///< Runs the engines of each zone in a stand-in process of their own.
     nlohmann::json engine = nlohmann::json::object(); ///< Put over the description of each stand-in engine.
     nlohmann::json plainService = nlohmann::json::object(); ///< Put over the description of each plain service.
     nlohmann::json world = nlohmann::json::object(); ///< Put over the world file.
@@ -53,6 +54,8 @@
 
     [[nodiscard]] auto node(std::size_t index) -> Process& { return *this->nodes.at(index); }
     [[nodiscard]] auto standins() -> Process& { return *this->standinProcess; }
+    /** Returns the process of the engines in the zone of engine \a index; only with hasProcessPerZone. */
+    [[nodiscard]] auto engines(std::size_t index) -> Process& { return *this->engineProcesses.at(index % this->options.zones); }
     [[nodiscard]] auto callers(std::size_t index) const -> Address;
     [[nodiscard]] auto operators(std::size_t index) const -> Address;
     [[nodiscard]] auto peers(std::size_t index) const -> Address;
@@ -76,6 +79,8 @@
 
 private:
     auto writeWorld() -> void;
+    [[nodiscard]] auto describeEngine(std::size_t index) const -> nlohmann::json;
+    auto startEngines() -> bool;
     auto writeSettings(std::size_t index) -> void;
     auto putConfiguration() -> bool;
     [[nodiscard]] auto zone(std::size_t index) const -> std::string;
@@ -86,6 +91,7 @@
     std::string network; ///< First three numbers of all addresses.
     BlockingClient blockingClient;
     std::unique_ptr<Process> standinProcess;
+    std::vector<std::unique_ptr<Process>> engineProcesses; ///< By zone.
     std::vector<std::unique_ptr<Process>> nodes;
 };
 
