--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -205,8 +205,7 @@
     if (endOfFirst == AttemptEnd::Stalled)
         this->failedServers.insert(this->first->backendServer().id);
     if (this->secondReason == SecondReason::Reclaim)
-        this->context.log.write(Event::StreamMoved, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) },
-                                                        { "from", this->first->backendServer().id }, { "to", this->second->backendServer().id } });
+        this->context.log.write(Event::StreamMoved, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "from", this->first->backendServer().id }, { "to", this->second->backendServer().id } });
     this->discard(std::exchange(this->first, std::exchange(this->second, nullptr)), endOfFirst);
     this->moveTimer.stop();
     this->engineNoticed.reset();
@@ -326,8 +325,7 @@
         this->promoteSecond(AttemptEnd::Stalled);
     if (this->startSecond(SecondReason::Silence)) {
         ++this->failuresInRow;
-        this->context.log.write(Event::StreamSilent, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) },
-                                                         { "backend_server", this->first->backendServer().id }, { "asked", this->second->backendServer().id } });
+        this->context.log.write(Event::StreamSilent, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "backend_server", this->first->backendServer().id }, { "asked", this->second->backendServer().id } });
     }
     this->watchSilence();
 }
--- a/src/platform/httpengines.cpp
+++ b/src/platform/httpengines.cpp
@@ -98,8 +98,8 @@
         this->status = answered;
         if (answered != HttpStatus::ok)
             return;
-        if (headers.get("Stream-Id").value_or(this->streamId) != this->streamId)
-            return this->stop(Error::BadAnswer);
+        // The call cannot be cancelled here; its first piece ends it.
+        this->isOfAnotherStream = headers.get("Stream-Id").value_or(this->streamId) != this->streamId;
         this->summary.computedPromptTokens = readCount(headers, "Computed-Prompt-Tokens");
         this->summary.cachedPromptTokens = readCount(headers, "Cached-Prompt-Tokens");
         if (this->handlers.onBegin)
@@ -111,6 +111,8 @@
         const auto self = this->shared_from_this();
         if (this->isDone || this->status != HttpStatus::ok)
             return;
+        if (this->isOfAnotherStream)
+            return this->stop(Error::BadAnswer);
         const auto error = this->lines.add(piece, [this](std::string_view line) { return this->readLine(line); });
         if (error)
             this->stop(error);
@@ -167,6 +169,7 @@
     std::shared_ptr<HttpCall> call;
     GenerationSummary summary;
     int status = 0;
+    bool isOfAnotherStream = false;
     bool isWhole = false;
     bool isDone = false;
 };
--- a/src/standins/enginestandin.cpp
+++ b/src/standins/enginestandin.cpp
@@ -204,7 +204,8 @@
             ++stream;
             continue;
         }
-        this->sendToken(*stream);
+        for (std::int64_t count = 0; count < this->options.tokensPerStep; ++count)
+            this->sendToken(*stream);
         if (stream->next < stream->maxTokens) {
             ++stream;
             continue;
--- a/src/standins/enginestandin.h
+++ b/src/standins/enginestandin.h
@@ -21,7 +21,8 @@
     std::string id;
     std::int64_t slots = 8;
     std::int64_t prefillTokensPerSecond = 8000;
-    std::chrono::microseconds step { 20'000 }; ///< One token for each running stream.
+    std::chrono::microseconds step { 20'000 };
+    std::int64_t tokensPerStep = 1; ///< Of each running stream.
     std::size_t cacheBlocks = 1024;
     std::chrono::milliseconds loadLag { 1'000 };
     std::int64_t exportTokensPerSecond = 0; ///< Of KV cache sent to another engine; 0 is no export.
--- a/src/standins/world.cpp
+++ b/src/standins/world.cpp
@@ -42,6 +42,7 @@
     options.slots = json.value("slots", options.slots);
     options.prefillTokensPerSecond = json.value("prefill_tokens_per_second", options.prefillTokensPerSecond);
     options.step = std::chrono::microseconds(json.value("step_us", options.step.count()));
+    options.tokensPerStep = json.value("tokens_per_step", options.tokensPerStep);
     options.cacheBlocks = json.value("cache_blocks", options.cacheBlocks);
     options.loadLag = std::chrono::milliseconds(json.value("load_lag_ms", options.loadLag.count()));
     options.exportTokensPerSecond = json.value("export_tokens_per_second", options.exportTokensPerSecond);
--- a/tests/streams/test_streampolicies.cpp
+++ b/tests/streams/test_streampolicies.cpp
@@ -14,7 +14,7 @@
 using TimePoint = StreamMovePolicy::TimePoint;
 
 struct MoveCase {
-    const char* name;
+    std::string name;
     std::uint64_t hash;
     std::int64_t tokensLeft;
     std::chrono::microseconds tokenGap;
@@ -60,7 +60,7 @@
 }
 
 struct AbandonCase {
-    const char* name;
+    std::string name;
     std::chrono::milliseconds now;
     int abandonedMoves;
     bool mayAbandon;
@@ -97,7 +97,7 @@
 }
 
 struct PaceCase {
-    const char* name;
+    std::string name;
     std::int64_t tokens; ///< To compute before the first piece.
     std::vector<std::chrono::milliseconds> pieces; ///< After the start.
     std::chrono::microseconds silenceLimit;
@@ -124,7 +124,7 @@
 }
 
 struct AssemblerCase {
-    const char* name;
+    std::string name;
     std::int64_t first;
     std::vector<std::int64_t> received;
     std::string ready; ///< One letter a token, "a" at offset 0.
