Once: Wrote tests of at-most-once calls that fail without claims

A call that is not idempotent is sent without a record that other nodes can see. The tests bring about concurrent asks, node deaths before, between and after claim and send, lost replies, a paused node and silent services, with real processes. The stand-ins got: a delay between a store write's effect and its reply, and plain services that swallow calls or answers.

--- a/src/standins/kvstandin.cpp
+++ b/src/standins/kvstandin.cpp
@@ -127,7 +127,7 @@
         --this->faults.lostReplies;
         return exchange->abort();
     }
-    respond(exchange, status, body);
+    afterDelay(this->loop, this->faults.replyDelay, [exchange, status, body] { respond(exchange, status, body); });
 }
 
 auto KvStandin::watch(const std::shared_ptr<HttpExchange>& exchange) -> void
--- a/src/standins/plainstandin.h
+++ b/src/standins/plainstandin.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Primrosefork {
 
@@ -31,6 +32,8 @@
     HttpServer server;
     std::string id;
     Faults faults;
+    bool swallowsAnswers = false; ///< Calls are run and their answers go nowhere.
+    std::vector<std::shared_ptr<HttpExchange>> silent; ///< Calls that are never answered.
     std::map<std::string, std::int64_t> runs; ///< How often each key was run.
 };
 
--- a/src/testkit/cluster.h
+++ b/src/testkit/cluster.h
@@ -61,6 +61,7 @@
     [[nodiscard]] auto cloudApi() const -> Address;
     [[nodiscard]] auto engine(std::size_t index) const -> Address;
     [[nodiscard]] auto plainService(std::size_t index) const -> Address;
+    [[nodiscard]] auto plainServiceCount() const -> std::size_t { return this->options.plainServices; }
     [[nodiscard]] static auto nodeId(std::size_t index) -> std::string;
     [[nodiscard]] static auto engineId(std::size_t index) -> std::string;
     [[nodiscard]] static auto plainServiceId(std::size_t index) -> std::string;
--- /dev/null
+++ b/tests/once/test_once.cpp
@@ -0,0 +1,310 @@
+#include "bookingclient.h"
+#include "cluster.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace Primrosefork;
+using namespace Primrosefork::Testkit;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** A cluster of \a nodes whose plain services work for \a workingTime on each call. */
+auto optionsOf(std::size_t nodes, std::chrono::milliseconds workingTime = 1ms) -> ClusterOptions
+{
+    ClusterOptions options;
+    options.nodes = nodes;
+    options.plainService = { { "working_ms", workingTime.count() } };
+    return options;
+}
+
+TEST_CASE("a key asked again through any node is answered and not run again")
+{
+    Cluster cluster(optionsOf(3));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+
+    const auto first = bookings.confirm(0, "k1", R"({"chair":1})");
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(first.status == 200);
+    CHECK(first.execution == "run");
+    CHECK_FALSE(first.isReplayed);
+    CHECK(second.status == 200);
+    CHECK(second.body == first.body);
+    CHECK(second.isReplayed);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a key asked through several nodes at the same moment is run once")
+{
+    Cluster cluster(optionsOf(3, 200ms));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+
+    const auto answers = bookings.confirmAtOnce({ 0, 1, 2, 0, 1, 2 }, "k1", R"({"chair":1})");
+
+    for (const auto& answer : answers) {
+        CHECK(answer.status == 200);
+        CHECK(answer.body == answers.front().body);
+    }
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a key with another body is refused and not run")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    REQUIRE(bookings.confirm(0, "k1", R"({"chair":1})").status == 200);
+
+    const auto other = bookings.confirm(1, "k1", R"({"chair":2})");
+
+    CHECK(other.status == 409);
+    CHECK(other.error == "key_reused");
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("nothing is sent while no claim can be written")
+{
+    Cluster cluster(optionsOf(1));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    cluster.control(cluster.keyValueService(), { { "down", true } });
+
+    const auto refused = bookings.confirm(0, "k1", R"({"chair":1})");
+
+    CHECK(refused.status == 503);
+    CHECK(refused.error == "claims_unavailable");
+    CHECK(refused.execution == "not run");
+    CHECK(bookings.runsOf("k1") == 0);
+}
+
+TEST_CASE("a store that is slow for longer than the node waits leaves the key usable")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    REQUIRE(bookings.confirm(0, "warm", "{}").status == 200);
+    cluster.control(cluster.keyValueService(), { { "delay_ms", 3'000 } });
+
+    const auto refused = bookings.confirm(0, "k1", R"({"chair":1})");
+    const auto runsMeanwhile = bookings.runsOf("k1");
+    cluster.control(cluster.keyValueService(), { { "delay_ms", 0 } });
+    bookings.setRepeated(true);
+    const auto isAnswered = cluster.client().waitUntil([&bookings] { return bookings.confirm(1, "k1", R"({"chair":1})").status == 200; }, 30s);
+
+    CHECK(refused.error == "claims_unavailable");
+    CHECK(refused.execution == "not run");
+    CHECK(runsMeanwhile == 0);
+    CHECK(isAnswered);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a claim whose reply was lost is recognised and the call is run once")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    REQUIRE(bookings.confirm(0, "warm", "{}").status == 200);
+    const auto before = cluster.control(cluster.keyValueService(), { { "lost_replies", 1 } });
+
+    const auto first = bookings.confirm(0, "k1", R"({"chair":1})");
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+    const auto after = cluster.control(cluster.keyValueService(), Json::object());
+
+    CHECK(first.status == 200);
+    CHECK(second.body == first.body);
+    CHECK(after["reads"] > before["reads"]);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("an outcome whose reply was lost is kept")
+{
+    Cluster cluster(optionsOf(2, 300ms));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    const auto answer = bookings.begin(0, "k1", R"({"chair":1})");
+    REQUIRE(cluster.client().waitUntil([&bookings] { return bookings.runsOf("k1") == 1; }, 5s));
+    cluster.control(cluster.keyValueService(), { { "lost_replies", 1 } });
+
+    REQUIRE(bookings.waitFor(*answer));
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(answer->status == 200);
+    CHECK(second.body == answer->body);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a node killed before its claim leaves the key free")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    const auto before = cluster.control(cluster.keyValueService(), { { "silent", true } })["waiting_watches"].get<std::int64_t>();
+    const auto lost = bookings.begin(0, "k1", R"({"chair":1})");
+    const auto hasArrived = [&cluster, before] {
+        return cluster.control(cluster.keyValueService(), Json::object())["waiting_watches"].get<std::int64_t>() > before;
+    };
+    REQUIRE(cluster.client().waitUntil(hasArrived, 5s));
+
+    cluster.node(0).sendSignal(SIGKILL);
+    cluster.control(cluster.keyValueService(), { { "silent", false } });
+    bookings.setRepeated(true);
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(second.status == 200);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a node killed between claim and send leaves the key undecided")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    bookings.setDeadline(2s);
+    REQUIRE(bookings.confirm(0, "warm", "{}").status == 200);
+    const auto before = cluster.control(cluster.keyValueService(), { { "reply_delay_ms", 1'500 } })["writes"].get<std::int64_t>();
+    const auto lost = bookings.begin(0, "k1", R"({"chair":1})");
+    const auto isClaimed = [&cluster, before] {
+        return cluster.control(cluster.keyValueService(), Json::object())["writes"].get<std::int64_t>() > before;
+    };
+    REQUIRE(cluster.client().waitUntil(isClaimed, 5s));
+
+    cluster.node(0).sendSignal(SIGKILL);
+    cluster.control(cluster.keyValueService(), { { "reply_delay_ms", 0 } });
+    bookings.setRepeated(true);
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(second.execution == "unknown");
+    CHECK(bookings.runsOf("k1") == 0);
+}
+
+TEST_CASE("a node killed after it sent the call does not get it run again")
+{
+    Cluster cluster(optionsOf(2, 1'000ms));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    bookings.setDeadline(3s);
+    const auto lost = bookings.begin(0, "k1", R"({"chair":1})");
+    REQUIRE(cluster.client().waitUntil([&bookings] { return bookings.runsOf("k1") == 1; }, 5s));
+
+    cluster.node(0).sendSignal(SIGKILL);
+    bookings.setRepeated(true);
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(second.execution == "unknown");
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a caller that went away gets the outcome when it asks again elsewhere")
+{
+    Cluster cluster(optionsOf(2, 1'000ms));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    const auto lost = bookings.begin(0, "k1", R"({"chair":1})");
+    REQUIRE(cluster.client().waitUntil([&bookings] { return bookings.runsOf("k1") == 1; }, 5s));
+
+    bookings.hangUp();
+    cluster.node(0).sendSignal(SIGTERM);
+    bookings.setRepeated(true);
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(second.status == 200);
+    CHECK(second.isReplayed);
+    CHECK(bookings.runsOf("k1") == 1);
+    CHECK(cluster.node(0).waitForExit(30s) == 0);
+}
+
+TEST_CASE("a node that was paused past the deadline sends nothing when it wakes")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    REQUIRE(bookings.confirm(0, "warm", "{}").status == 200);
+    const auto before = cluster.control(cluster.keyValueService(), { { "reply_delay_ms", 1'000 } })["writes"].get<std::int64_t>();
+    bookings.setDeadline(2s);
+    const auto deadline = EventLoop::now() + 2s;
+    const auto paused = bookings.begin(0, "k1", R"({"chair":1})");
+    const auto isClaimed = [&cluster, before] {
+        return cluster.control(cluster.keyValueService(), Json::object())["writes"].get<std::int64_t>() > before;
+    };
+    REQUIRE(cluster.client().waitUntil(isClaimed, 1s));
+
+    cluster.node(0).sendSignal(SIGSTOP);
+    cluster.control(cluster.keyValueService(), { { "reply_delay_ms", 0 } });
+    REQUIRE(cluster.client().waitUntil([deadline] { return EventLoop::now() > deadline; }, 5s));
+    cluster.node(0).sendSignal(SIGCONT);
+    REQUIRE(bookings.waitFor(*paused));
+
+    CHECK(paused->execution == "not run");
+    CHECK(bookings.runsOf("k1") == 0);
+    bookings.setRepeated(true);
+    CHECK(bookings.confirm(1, "k1", R"({"chair":1})").status == 200);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+struct ServiceFaultCase {
+    const char* name;
+    const char* fault; ///< For the control call of each plain service.
+    std::int64_t runs;
+};
+
+const ServiceFaultCase serviceFaultCases[] = {
+    { "the answer is lost with its connection", R"({"lost_replies":1})", 1 },
+    { "the connection swallows the call", R"({"silent":true})", 0 },
+    { "the connection swallows the answer", R"({"swallow_answers":true})", 1 },
+};
+
+TEST_CASE("a call whose answer does not come is unknown for good")
+{
+    for (const auto& row : serviceFaultCases) {
+        CAPTURE(row.name);
+        Cluster cluster(optionsOf(2));
+        REQUIRE(cluster.start());
+        BookingClient bookings(cluster);
+        bookings.setDeadline(2s);
+        for (std::size_t index = 0; index < cluster.plainServiceCount(); ++index)
+            cluster.control(cluster.plainService(index), Json::parse(row.fault));
+
+        const auto begun = EventLoop::now();
+        const auto first = bookings.confirm(0, "k1", R"({"chair":1})");
+        const auto elapsed = EventLoop::now() - begun;
+        for (std::size_t index = 0; index < cluster.plainServiceCount(); ++index)
+            cluster.control(cluster.plainService(index), { { "lost_replies", 0 }, { "silent", false }, { "swallow_answers", false } });
+        bookings.setRepeated(true);
+        const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+        CHECK(first.execution == "unknown");
+        CHECK(elapsed < 3s);
+        CHECK(second.execution == "unknown");
+        CHECK(bookings.runsOf("k1") == row.runs);
+    }
+}
+
+TEST_CASE("a call that reached no service is not run, and may be asked for again")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    const auto list = Json::array({ { { "id", "plain-0" }, { "state", "leaving" } }, { { "id", "plain-1" }, { "state", "leaving" } } });
+    cluster.control(cluster.instanceList(), { { "put", list } });
+    bookings.setDeadline(2s);
+    const auto isRefused = [&bookings, count = 0]() mutable { return bookings.confirm(0, "probe-" + std::to_string(count++), "{}").status == 503; };
+    REQUIRE(cluster.client().waitUntil(isRefused, 10s));
+
+    const auto refused = bookings.confirm(0, "k1", R"({"chair":1})");
+    const auto back = Json::array({ { { "id", "plain-0" }, { "state", "live" } }, { { "id", "plain-1" }, { "state", "live" } } });
+    cluster.control(cluster.instanceList(), { { "put", back } });
+    bookings.setRepeated(true);
+    const auto isAnswered = cluster.client().waitUntil([&bookings] { return bookings.confirm(1, "k1", R"({"chair":1})").status == 200; }, 10s);
+
+    CHECK(refused.execution == "not run");
+    CHECK(isAnswered);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+} // namespace
