--- a/src/node/storeclaim.cpp
+++ b/src/node/storeclaim.cpp
@@ -209,7 +209,7 @@
         return this->finish();
     }
     if (this->phase == Phase::Waiting) {
-        const auto isLate = EventLoop::now() >= this->request.deadline;
+        const auto isLate = this->request.deadline <= this->ownerEnd;
         return this->conclude(isLate ? ClaimVerdict::TimedOut : ClaimVerdict::Unknown, {});
     }
     const auto notify = std::exchange(this->handler, nullptr);
