--- a/src/testkit/bookingclient.cpp
+++ b/src/testkit/bookingclient.cpp
@@ -50,7 +50,10 @@
     options.firstByteTimeout = this->deadline + answerGrace;
     const auto answer = std::make_shared<BookingAnswer>();
     const auto call = this->cluster.client().httpClient().fetch(this->cluster.callers(node), request, options,
-        [answer](std::error_code error, const HttpResponse& response) { readAnswer(*answer, error, response); });
+        [answer, begun = EventLoop::now()](std::error_code error, const HttpResponse& response) {
+            answer->elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - begun);
+            readAnswer(*answer, error, response);
+        });
     this->calls.push_back(call);
     return answer;
 }
--- a/src/testkit/bookingclient.h
+++ b/src/testkit/bookingclient.h
@@ -20,6 +20,7 @@
     std::string execution; ///< "run", "not run", "unknown" or empty.
     std::string body;
     bool isReplayed = false;
+    std::chrono::milliseconds elapsed { 0 }; ///< From the call to its answer.
 };
 
 /**
