--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -30,6 +30,11 @@
     EventDescription { Event::StreamMoved, Severity::Info, "streamMoved" },
     EventDescription { Event::StreamSilent, Severity::Warning, "streamSilent" },
     EventDescription { Event::AnswerHandedBack, Severity::Info, "answerHandedBack" },
+    EventDescription { Event::ClaimsUnavailable, Severity::Error, "claimsUnavailable" },
+    EventDescription { Event::ClaimsRecovered, Severity::Info, "claimsRecovered" },
+    EventDescription { Event::OutcomeNotKept, Severity::Warning, "outcomeNotKept" },
+    EventDescription { Event::ClaimUnreadable, Severity::Error, "claimUnreadable" },
+    EventDescription { Event::CallUndecided, Severity::Warning, "callUndecided" },
 };
 
 } // namespace
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -40,6 +40,11 @@
     StreamMoved = 4003,
     StreamSilent = 4004,
     AnswerHandedBack = 4005,
+    ClaimsUnavailable = 5001,
+    ClaimsRecovered = 5002,
+    OutcomeNotKept = 5003,
+    ClaimUnreadable = 5004,
+    CallUndecided = 5005,
 };
 
 /** The fixed part of one event. */
