Peers: Told nodes of each other, and of the configuration in force

A node learnt of changes and reclaims from the platform alone, and one that started during an outage of the store had no configuration. The nodes now keep a membership, each shows which node has which revision in force, a reclaim notice that one node saw reaches the others, and a node that is behind fetches the records it lacks from a peer, of its own zone when there is one.

peernodes: with the store down, a node that was killed and started again serves within the 6 s the test allows.

--- a/src/libprimrosefork/blackboard.h
+++ b/src/libprimrosefork/blackboard.h
@@ -3,6 +3,7 @@
 #include "backendserver.h"
 #include "configuration.h"
 #include "lifecycle.h"
+#include "membership.h"
 #include "section.h"
 
 #include <string>
@@ -29,6 +30,8 @@
     Section<BackendServers> backendServers { "backendServers" };
     Section<LoadReports> loadReports { "loadReports" };
     Section<ReclaimNotices> reclaimNotices { "reclaimNotices" };
+    Section<Peers> peers { "peers" };
+    Section<ReclaimNotices> peerNotices { "peerNotices" }; ///< Those that peers told of.
 
     /** Returns every section with its writer, in the order of declaration. */
     [[nodiscard]] auto owners() const -> std::vector<SectionOwner>;
--- a/src/node/configurationcontroller.cpp
+++ b/src/node/configurationcontroller.cpp
@@ -79,6 +79,7 @@
     const auto& current = this->configuration.value();
     if (listing.entries.empty() && current.storeRevision != 0)
         return;
+    this->remember(listing);
     auto next = current;
     for (const auto& entry : inOrderOfUse(listing.entries))
         this->applyEntry(next, entry);
@@ -87,6 +88,38 @@
     this->configuration.write(std::move(next));
 }
 
+auto ConfigurationController::remember(const StoreListing& listing) -> void
+{
+    for (const auto& entry : listing.entries) {
+        auto& held = this->records[entry.key];
+        if (entry.revision >= held.revision)
+            held = entry;
+        this->highestRecord = std::max(this->highestRecord, entry.revision);
+    }
+}
+
+auto ConfigurationController::applyFromPeer(const StoreListing& listing) -> void
+{
+    auto newer = listing;
+    std::erase_if(newer.entries, [this](const StoreEntry& entry) {
+        const auto held = this->records.find(entry.key);
+        return held != this->records.end() && held->second.revision >= entry.revision;
+    });
+    if (!newer.entries.empty())
+        this->apply(newer);
+}
+
+auto ConfigurationController::recordsAfter(StoreRevision after) const -> StoreListing
+{
+    StoreListing listing;
+    listing.revision = this->highestRecord;
+    for (const auto& [key, entry] : this->records) {
+        if (entry.revision > after)
+            listing.entries.push_back(entry);
+    }
+    return listing;
+}
+
 auto ConfigurationController::applyEntry(Configuration& next, const StoreEntry& entry) -> void
 {
     Findings findings;
--- a/src/node/configurationcontroller.h
+++ b/src/node/configurationcontroller.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <map>
+#include <string>
 
 namespace Primrosefork {
 
@@ -23,6 +24,17 @@
 
     auto begin() -> void;
 
+    /** Puts records in force that a peer has; by the same rules as those of the store. */
+    auto applyFromPeer(const StoreListing&) -> void;
+
+    /** Returns the records seen, as the store has them, with revisions after \a after. */
+    [[nodiscard]] auto recordsAfter(StoreRevision after) const -> StoreListing;
+
+    /** Returns the highest store revision of the records seen. */
+    [[nodiscard]] auto recordsRevision() const -> StoreRevision { return this->highestRecord; }
+
+    [[nodiscard]] auto isStoreReachable() const -> bool { return this->isStoreAvailable; }
+
     [[nodiscard]] auto stateName() const -> std::string override { return "configuration"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
@@ -31,6 +43,7 @@
     auto watchChanges() -> void;
     auto received(std::error_code, const StoreListing&) -> void;
     auto apply(const StoreListing&) -> void;
+    auto remember(const StoreListing&) -> void;
     auto applyEntry(Configuration&, const StoreEntry&) -> void;
     auto storeFailed(std::error_code) -> void;
     auto storeAnswered() -> void;
@@ -41,6 +54,8 @@
     const EventLog& log;
     std::chrono::milliseconds watchTime;
     Timer timer;
+    std::map<std::string, StoreEntry> records; ///< As the store has them, by key.
+    StoreRevision highestRecord = 0;
     StoreRevision watchedUpTo = 0;
     bool hasListed = false;
     bool isStoreAvailable = true;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,12 +29,15 @@
     , backends(loop, this->instanceList, this->blackboard, this->log, this->settings.timeouts.instancePoll)
     , load(loop, this->engines, this->blackboard, this->settings.timeouts.loadPoll)
     , notices(loop, this->cloudApi, this->blackboard, this->log, this->settings.timeouts.noticePoll)
+    , membership(loop, this->settings, this->blackboard, this->log, this->metrics)
+    , configurationFetcher(loop, this->settings, this->blackboard, this->configuration, this->membership, this->log)
     , requests({ loop, this->settings, this->blackboard, *this->routing, this->retries, this->engines, this->plainServices, this->metrics, this->log }, this->admission)
     , lifecycle(loop, this->blackboard, this->log, this->settings.timeouts.drain, [this] { return this->callerServer.openCount(); })
     , callerServer(loop, this->settings, this->requests, this->lifecycle)
     , operatorServer(loop, this->settings, this->metrics)
 {
     this->connectSignals();
+    this->connectPeers();
     this->addStateSources();
 }
 
@@ -54,10 +57,34 @@
     });
 }
 
+auto Node::connectPeers() -> void
+{
+    this->blackboard.configuration.changed.connect(
+        [this](const Configuration&) { this->membership.setConfigurationRevision(this->configuration.recordsRevision()); });
+    this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) { this->membership.announceNotices(current); });
+    this->blackboard.peerNotices.changed.connect([this](const ReclaimNotices& current) {
+        if (current.contains(this->settings.id))
+            this->lifecycle.requestStop("reclaim notice of a peer");
+    });
+    this->blackboard.lifecycle.changed.connect([this](Lifecycle current) {
+        if (current == Lifecycle::Draining)
+            this->membership.leave();
+    });
+}
+
+auto Node::beginPeers() -> std::error_code
+{
+    if (this->settings.peers.port == 0)
+        return {};
+    if (const auto error = this->membership.begin())
+        return error;
+    return this->configurationFetcher.begin();
+}
+
 auto Node::addStateSources() -> void
 {
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->lifecycle, &this->configuration, &this->backends, &this->load, &this->notices, &this->requests })
+             &this->lifecycle, &this->configuration, &this->backends, &this->load, &this->notices, &this->membership, &this->requests })
         this->operatorServer.addSource(*source);
 }
 
@@ -71,6 +98,10 @@
         this->log.write(Event::ListenFailed, { { "address", this->settings.operators.toString() }, { "error", error.message() } });
         return error;
     }
+    if (const auto error = this->beginPeers()) {
+        this->log.write(Event::ListenFailed, { { "address", this->settings.peers.toString() }, { "error", error.message() } });
+        return error;
+    }
     this->log.write(Event::NodeStarted,
         { { "node", this->settings.id }, { "zone", this->settings.zone }, { "callers", this->settings.callers.toString() }, { "operators", this->settings.operators.toString() } });
     this->configuration.begin();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #include "blackboard.h"
 #include "callerserver.h"
 #include "configurationcontroller.h"
+#include "configurationfetcher.h"
 #include "eventlog.h"
 #include "eventloop.h"
 #include "httpclient.h"
@@ -14,6 +15,7 @@
 #include "httpkeyvaluestore.h"
 #include "lifecyclecontroller.h"
 #include "loadcontroller.h"
+#include "membershipcontroller.h"
 #include "metrics.h"
 #include "nodesettings.h"
 #include "noticecontroller.h"
@@ -48,6 +50,8 @@
 private:
     auto connectSignals() -> void;
     auto addStateSources() -> void;
+    auto connectPeers() -> void;
+    auto beginPeers() -> std::error_code;
 
     EventLoop& loop;
     NodeSettings settings;
@@ -67,6 +71,8 @@
     BackendController backends;
     LoadController load;
     NoticeController notices;
+    MembershipController membership;
+    ConfigurationFetcher configurationFetcher;
     RequestController requests;
     LifecycleController lifecycle;
     CallerServer callerServer;
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -27,6 +27,15 @@
     EventDescription { Event::ReclaimNoticed, Severity::Warning, "reclaimNoticed" },
     EventDescription { Event::AttemptFailed, Severity::Warning, "attemptFailed" },
     EventDescription { Event::AnswerCutOff, Severity::Error, "answerCutOff" },
+    EventDescription { Event::PeerJoined, Severity::Info, "peerJoined" },
+    EventDescription { Event::PeerSuspected, Severity::Info, "peerSuspected" },
+    EventDescription { Event::PeerDied, Severity::Warning, "peerDied" },
+    EventDescription { Event::PeerLeft, Severity::Info, "peerLeft" },
+    EventDescription { Event::PeerDatagramsRefused, Severity::Warning, "peerDatagramsRefused" },
+    EventDescription { Event::NodePaused, Severity::Warning, "nodePaused" },
+    EventDescription { Event::RevisionConfirmed, Severity::Info, "revisionConfirmed" },
+    EventDescription { Event::ConfigurationFetched, Severity::Info, "configurationFetched" },
+    EventDescription { Event::ConfigurationFetchFailed, Severity::Warning, "configurationFetchFailed" },
 };
 
 } // namespace
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -37,6 +37,15 @@
     ReclaimNoticed = 3104,
     AttemptFailed = 4001,
     AnswerCutOff = 4002,
+    PeerJoined = 7001,
+    PeerSuspected = 7002,
+    PeerDied = 7003,
+    PeerLeft = 7004,
+    PeerDatagramsRefused = 7005,
+    NodePaused = 7006,
+    RevisionConfirmed = 7007,
+    ConfigurationFetched = 7008,
+    ConfigurationFetchFailed = 7009,
 };
 
 /** The fixed part of one event. */
--- /dev/null
+++ b/src/peer/configurationexchange.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "keyvaluestore.h"
+#include "peerkeyring.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Primrosefork {
+
+/**
+ * Asks a peer for the records of the configuration that it has in force.
+ */
+struct ConfigurationRequest {
+    std::string sender;
+    std::string nonce; ///< Binds the answer to this request.
+    std::chrono::milliseconds sentAt { 0 }; ///< Since the epoch.
+    StoreRevision after = 0; ///< Only records with a higher revision.
+
+    auto operator==(const ConfigurationRequest&) const -> bool = default;
+};
+
+/** Limits on the exchange of configurations. */
+namespace ExchangeLimits {
+constexpr std::size_t requestBytes = 512;
+constexpr std::size_t answerBytes = 8 * 1024 * 1024;
+constexpr std::size_t nonceBytes = 32;
+constexpr std::size_t senderBytes = 64;
+constexpr std::size_t keyBytes = 512;
+constexpr std::size_t valueBytes = 1024 * 1024;
+constexpr std::size_t records = 4'096;
+} // namespace ExchangeLimits
+
+/**
+ * Signs and reads the two messages of the exchange, which travel over TCP, each
+ * after its length.
+ */
+class ConfigurationExchange {
+public:
+    using WallTime = std::chrono::milliseconds; ///< Since the epoch.
+    static constexpr std::size_t lengthBytes = 4;
+
+    explicit ConfigurationExchange(const std::vector<PeerKey>&);
+
+    [[nodiscard]] auto encodeRequest(ConfigurationRequest, const std::string& recipient) const -> std::vector<std::uint8_t>;
+    [[nodiscard]] auto decodeRequest(std::span<const std::uint8_t> message, const std::string& recipient, WallTime now) const -> std::optional<ConfigurationRequest>;
+    [[nodiscard]] auto encodeAnswer(StoreListing, const std::string& nonce) const -> std::vector<std::uint8_t>;
+    [[nodiscard]] auto decodeAnswer(std::span<const std::uint8_t> message, const std::string& nonce) const -> std::optional<StoreListing>;
+
+    /** Returns \a message after its length. */
+    [[nodiscard]] static auto frame(std::span<const std::uint8_t> message) -> std::vector<std::uint8_t>;
+
+    /** Returns the length that the first lengthBytes of \a data spell. */
+    [[nodiscard]] static auto frameLength(std::span<const std::uint8_t> data) -> std::size_t;
+
+private:
+    PeerKeyring keyring;
+};
+
+} // namespace Primrosefork
--- a/src/peer/peercodec.h
+++ b/src/peer/peercodec.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "nodesettings.h"
+#include "peerkeyring.h"
 #include "peermessage.h"
 #include "replayguard.h"
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -35,8 +34,6 @@
 class PeerCodec {
 public:
     using WallTime = std::chrono::milliseconds; ///< Since the epoch.
-    static constexpr std::size_t secretBytes = 32;
-    using Secret = std::array<std::uint8_t, secretBytes>;
 
     /** \a session must go up with each start of the node \a self. */
     PeerCodec(const Address& self, std::uint64_t session, const std::vector<PeerKey>& keys);
@@ -50,18 +47,13 @@
     [[nodiscard]] auto counts() const -> const PeerCodecCounts& { return this->received; }
 
 private:
-    struct Key {
-        std::uint32_t id = 0;
-        Secret secret {};
-    };
-
-    [[nodiscard]] auto findKey(std::uint32_t id) const -> const Key*;
+    auto verify(std::span<const std::uint8_t> datagram) -> bool;
     auto admit(const PeerMessage&, const DatagramStamp&, WallTime now) -> bool;
 
     Address self;
     std::uint64_t session;
     std::uint32_t sequence = 0;
-    std::vector<Key> keys;
+    PeerKeyring keyring;
     ReplayGuard guard;
     PeerCodecCounts received;
 };
--- a/src/peer/peermembership.cpp
+++ b/src/peer/peermembership.cpp
@@ -432,7 +432,7 @@
         current.configurationRevision = std::max(record.configurationRevision, revision);
         this->changeState(current, isSudden ? PeerState::Suspect : record.state, now);
     } else if (record.incarnation == current.incarnation) {
-        current.configurationRevision = std::max(record.configurationRevision, current.configurationRevision);
+        this->raiseRevision(current, record.configurationRevision);
         if (record.state == current.state)
             this->noteHeardAgain(record.id);
     }
@@ -476,18 +476,26 @@
     this->setNewestRevision(std::max(message.newestRevision, message.ownRevision), now);
     const auto sender = this->known.find(message.sender);
     if (sender != this->known.end())
-        sender->second.configurationRevision = std::max(sender->second.configurationRevision, message.ownRevision);
+        this->raiseRevision(sender->second, message.ownRevision);
     if (message.newestRevision != this->newest || message.liveHash != this->liveHash)
         return;
     std::size_t index = 0;
     for (auto* peer : this->liveInOrder()) {
         const auto byte = index / bitsPerByte;
         if (peer != &this->own && byte < message.confirmations.size() && (message.confirmations[byte] >> (index % bitsPerByte) & 1U) != 0)
-            peer->configurationRevision = std::max(peer->configurationRevision, this->newest);
+            this->raiseRevision(*peer, this->newest);
         ++index;
     }
 }
 
+auto PeerMembership::raiseRevision(Peer& peer, std::uint64_t revision) -> void
+{
+    if (revision <= peer.configurationRevision)
+        return;
+    peer.configurationRevision = revision;
+    ++this->changeCount;
+}
+
 auto PeerMembership::learnNotice(const PeerNotice& notice, TimePoint now) -> void
 {
     if (this->knownNotices.contains(notice.instanceId) || this->knownNotices.size() >= maxNotices)
--- a/src/peer/peermembership.h
+++ b/src/peer/peermembership.h
@@ -135,6 +135,7 @@
     [[nodiscard]] auto isContradictedBy(const PeerMessage&) const -> bool;
     auto learnOfSelf(const Peer& record) -> void;
     auto learnRevisions(const PeerMessage&, TimePoint now) -> void;
+    auto raiseRevision(Peer&, std::uint64_t revision) -> void;
     auto learnNotice(const PeerNotice&, TimePoint now) -> void;
     auto setNewestRevision(std::uint64_t revision, TimePoint now) -> void;
     auto changeState(Peer&, PeerState, TimePoint now) -> void;
--- /dev/null
+++ b/src/peer/peerstream.cpp
@@ -0,0 +1,108 @@
+#include "peerstream.h"
+
+#include "configurationexchange.h"
+#include "errors.h"
+#include "eventloop.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+auto toTimeval(std::chrono::milliseconds duration) -> timeval
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    return { seconds.count(), std::chrono::microseconds(duration - seconds).count() };
+}
+
+} // namespace
+
+PeerStream::PeerStream(EventLoop& loop, int descriptor, std::size_t limit, std::chrono::milliseconds timeout, Handler handler)
+    : buffer(bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    , limit(limit)
+    , handler(std::move(handler))
+{
+    bufferevent_setcb(
+        this->buffer, [](bufferevent*, void* self) { static_cast<PeerStream*>(self)->read(); },
+        [](bufferevent*, void* self) { static_cast<PeerStream*>(self)->written(); },
+        [](bufferevent*, short events, void* self) { static_cast<PeerStream*>(self)->ended(events); }, this);
+    const auto limitOfTime = toTimeval(timeout);
+    bufferevent_set_timeouts(this->buffer, &limitOfTime, &limitOfTime);
+    bufferevent_setwatermark(this->buffer, EV_READ, 0, limit + ConfigurationExchange::lengthBytes);
+    bufferevent_enable(this->buffer, EV_READ | EV_WRITE);
+}
+
+PeerStream::~PeerStream()
+{
+    bufferevent_free(this->buffer);
+}
+
+auto PeerStream::connect(const Address& address) -> std::error_code
+{
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+    if (bufferevent_socket_connect(this->buffer, reinterpret_cast<sockaddr*>(&name), sizeof name) != 0)
+        return Error::ConnectionFailed;
+    return {};
+}
+
+auto PeerStream::send(std::span<const std::uint8_t> message) -> void
+{
+    const auto framed = ConfigurationExchange::frame(message);
+    bufferevent_write(this->buffer, framed.data(), framed.size());
+}
+
+auto PeerStream::whenSent(std::function<void()> task) -> void
+{
+    this->sentTask = std::move(task);
+}
+
+auto PeerStream::read() -> void
+{
+    auto* input = bufferevent_get_input(this->buffer);
+    std::array<std::uint8_t, ConfigurationExchange::lengthBytes> header {};
+    if (evbuffer_copyout(input, header.data(), header.size()) < static_cast<ev_ssize_t>(header.size()))
+        return;
+    const auto length = ConfigurationExchange::frameLength(header);
+    if (length > this->limit)
+        return this->finish(Error::TooLarge);
+    if (evbuffer_get_length(input) < header.size() + length)
+        return;
+    const auto* data = evbuffer_pullup(input, static_cast<ev_ssize_t>(header.size() + length));
+    const std::vector<std::uint8_t> message(data + header.size(), data + header.size() + length);
+    evbuffer_drain(input, header.size() + length);
+    this->finish({}, message);
+}
+
+auto PeerStream::written() -> void
+{
+    // Also called for a connection that just opened, with the message still to be sent.
+    if (this->sentTask && evbuffer_get_length(bufferevent_get_output(this->buffer)) == 0)
+        std::exchange(this->sentTask, nullptr)();
+}
+
+auto PeerStream::ended(short events) -> void
+{
+    if ((events & BEV_EVENT_CONNECTED) != 0)
+        return;
+    if (this->sentTask)
+        return std::exchange(this->sentTask, nullptr)();
+    this->finish((events & BEV_EVENT_TIMEOUT) != 0 ? Error::Timeout : Error::ConnectionLost);
+}
+
+auto PeerStream::finish(std::error_code error, std::span<const std::uint8_t> message) -> void
+{
+    if (this->handler)
+        std::exchange(this->handler, nullptr)(error, message);
+}
+
+} // namespace Primrosefork
--- a/src/testkit/cluster.cpp
+++ b/src/testkit/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include "hash.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -203,10 +204,24 @@
         { "platform", { { "key_value_service", this->keyValueService().toString() }, { "instance_list", this->instanceList().toString() }, { "cloud_api", this->cloudApi().toString() } } },
         { "operators", Json::array({ { { "name", "ana" }, { "key_sha256", sha256Hex(operatorKey) } } }) },
     };
+    if (this->options.hasPeers) {
+        settings["listen"]["peers"] = this->peers(index).toString();
+        settings["peers"] = this->peerSettings();
+    }
     settings.merge_patch(this->options.settings);
     writeJson(this->path(nodeId(index) + ".json"), settings);
 }
 
+auto Cluster::peerSettings() const -> Json
+{
+    constexpr std::size_t seedCount = 3;
+    constexpr std::size_t secretDigits = 64;
+    auto seeds = Json::array();
+    for (std::size_t index = 0; index < std::min(seedCount, this->options.nodes); ++index)
+        seeds.push_back(this->peers(index).toString());
+    return { { "seeds", std::move(seeds) }, { "keys", Json::array({ { { "id", 1 }, { "secret", std::string(secretDigits, '7') } } }) } };
+}
+
 auto Cluster::putConfiguration() -> bool
 {
     const auto routes = Json::array({
--- a/src/testkit/cluster.h
+++ b/src/testkit/cluster.h
@@ -19,6 +19,7 @@
     std::size_t engines = 3;
     std::size_t plainServices = 2;
     std::size_t zones = 3; ///< Nodes and backend servers are spread over zones "a", "b", "c" and so on.
+    bool hasPeers = false; ///< Whether the nodes know each other; the first three are seeds.
     nlohmann::json engine = nlohmann::json::object(); ///< Put over the description of each stand-in engine.
     nlohmann::json plainService = nlohmann::json::object(); ///< Put over the description of each plain service.
     nlohmann::json world = nlohmann::json::object(); ///< Put over the world file.
@@ -77,6 +78,7 @@
 private:
     auto writeWorld() -> void;
     auto writeSettings(std::size_t index) -> void;
+    [[nodiscard]] auto peerSettings() const -> nlohmann::json;
     auto putConfiguration() -> bool;
     [[nodiscard]] auto zone(std::size_t index) const -> std::string;
     [[nodiscard]] auto path(const std::string& name) const -> std::string;
