--- a/src/node/membershipcontroller.cpp
+++ b/src/node/membershipcontroller.cpp
@@ -91,6 +91,7 @@
 auto MembershipController::setConfigurationRevision(std::uint64_t revision) -> void
 {
     this->membership.setConfigurationRevision(revision, EventLoop::now());
+    this->metrics.setGauge("configuration_revision", static_cast<double>(revision));
 }
 
 auto MembershipController::announceNotices(const ReclaimNotices& current) -> void
