--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -45,6 +45,15 @@
     OutcomeNotKept = 5003,
     ClaimUnreadable = 5004,
     CallUndecided = 5005,
+    PeerJoined = 7001,
+    PeerSuspected = 7002,
+    PeerDied = 7003,
+    PeerLeft = 7004,
+    PeerDatagramsRefused = 7005,
+    NodePaused = 7006,
+    RevisionConfirmed = 7007,
+    ConfigurationFetched = 7008,
+    ConfigurationFetchFailed = 7009,
 };
 
 /** The fixed part of one event. */
--- a/src/testkit/cluster.h
+++ b/src/testkit/cluster.h
@@ -20,6 +20,7 @@
     std::size_t plainServices = 2;
     std::size_t zones = 3; ///< Nodes and backend servers are spread over zones "a", "b", "c" and so on.
     bool hasProcessPerZone = false; ///< Runs the engines of each zone in a stand-in process of their own.
+    bool hasPeers = false; ///< Whether the nodes know each other; the first three are seeds.
     nlohmann::json engine = nlohmann::json::object(); ///< Put over the description of each stand-in engine.
     nlohmann::json plainService = nlohmann::json::object(); ///< Put over the description of each plain service.
     nlohmann::json world = nlohmann::json::object(); ///< Put over the world file.
@@ -83,6 +84,7 @@
     [[nodiscard]] auto describeEngine(std::size_t index) const -> nlohmann::json;
     auto startEngines() -> bool;
     auto writeSettings(std::size_t index) -> void;
+    [[nodiscard]] auto peerSettings() const -> nlohmann::json;
     auto putConfiguration() -> bool;
     [[nodiscard]] auto zone(std::size_t index) const -> std::string;
     [[nodiscard]] auto path(const std::string& name) const -> std::string;
