--- a/src/libprimrosefork/configuration.cpp
+++ b/src/libprimrosefork/configuration.cpp
@@ -11,6 +11,12 @@
     return nullptr;
 }
 
+auto Configuration::revisionOf(const std::string& key) const -> Revision
+{
+    const auto found = this->revisions.find(key);
+    return found == this->revisions.end() ? 0 : found->second;
+}
+
 auto Configuration::service(const std::string& workspace, const std::string& name) const -> const ServiceRecord*
 {
     const auto found = this->services.find({ workspace, name });
--- a/src/libprimrosefork/configuration.h
+++ b/src/libprimrosefork/configuration.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -35,11 +36,15 @@
     std::map<std::string, ServiceTemplate> templates;
     std::map<ServiceKey, ServiceRecord> services;
     std::map<std::string, Revision> revisions; ///< Of every record, by its key in the store.
+    std::map<std::string, std::shared_ptr<const std::string>> records; ///< The records in force as the store holds them, by key.
     Revision storeRevision = 0; ///< The newest revision of the store that was seen.
 
     /** Returns the workspace whose callers' key has the hash \a keyHash, or null. */
     [[nodiscard]] auto workspaceOfKey(const std::string& keyHash) const -> const Workspace*;
 
+    /** Returns the revision of the record at \a key that is in force, 0 when there is none. */
+    [[nodiscard]] auto revisionOf(const std::string& key) const -> Revision;
+
     /** Returns the service \a name of \a workspace, or null. */
     [[nodiscard]] auto service(const std::string& workspace, const std::string& name) const -> const ServiceRecord*;
 };
--- a/src/libprimrosefork/configurationrecord.cpp
+++ b/src/libprimrosefork/configurationrecord.cpp
@@ -1,8 +1,7 @@
 #include "configurationrecord.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 #include <sstream>
-#include <vector>
 
 namespace Primrosefork {
 
@@ -19,48 +18,66 @@
     return parts;
 }
 
-auto applyWorkspace(Configuration& configuration, const std::string& name, const Json& content, Findings& findings) -> void
+auto applyWorkspace(Configuration& configuration, const std::string& name, const RecordVersion& version, Findings& findings) -> void
 {
-    auto workspace = parseWorkspace(content, name, findings);
+    if (version.isDeleted) {
+        configuration.workspaces.erase(name);
+        return;
+    }
+    auto workspace = parseWorkspace(version.content, name, findings);
     if (findings.empty())
         configuration.workspaces[name] = std::move(workspace);
 }
 
-auto applyTemplate(Configuration& configuration, const std::string& name, const Json& content, Findings& findings) -> void
+auto isTemplateUsed(const Configuration& configuration, const std::string& name) -> bool
 {
-    auto serviceTemplate = parseServiceTemplate(content, name, findings);
-    if (findings.empty())
-        configuration.templates[name] = std::move(serviceTemplate);
+    return std::any_of(configuration.services.begin(), configuration.services.end(),
+        [&name](const auto& service) { return service.second.templateName == name; });
 }
 
-auto applyService(Configuration& configuration, const ServiceKey& key, const Json& record, Findings& findings) -> void
+auto applyTemplate(Configuration& configuration, const std::string& name, const RecordVersion& version, Findings& findings) -> void
 {
-    const auto templateName = record.value("template", "");
-    const auto found = configuration.templates.find(templateName);
-    if (found == configuration.templates.end()) {
-        findings.push_back({ "/template", "no template is called \"" + templateName + "\"" });
+    if (!version.isDeleted) {
+        auto serviceTemplate = parseServiceTemplate(version.content, name, findings);
+        if (findings.empty())
+            configuration.templates[name] = std::move(serviceTemplate);
+        return;
+    }
+    if (isTemplateUsed(configuration, name))
+        findings.push_back({ "", "services use the template" });
+    else
+        configuration.templates.erase(name);
+}
+
+auto applyService(Configuration& configuration, const ServiceKey& key, const RecordVersion& version, Findings& findings) -> void
+{
+    if (version.isDeleted) {
+        configuration.services.erase(key);
         return;
     }
-    auto parameters = parseServiceParameters(record.at("content"), found->second, findings);
-    if (!findings.empty())
+    if (!isValidName(key.second))
+        findings.push_back({ "", "the name of the service is not valid" });
+    const auto found = configuration.templates.find(version.templateName);
+    if (found == configuration.templates.end()) {
+        findings.push_back({ "/template", "no template is called \"" + version.templateName + "\"" });
         return;
-    configuration.services[key] = { key.first, key.second, templateName, record.at("revision").get<Revision>(),
-        record.value("write_id", ""), std::move(parameters) };
+    }
+    auto parameters = parseServiceParameters(version.content, found->second, findings);
+    if (findings.empty())
+        configuration.services[key] = { key.first, key.second, version.templateName, version.revision, version.writeId, std::move(parameters) };
 }
 
-auto applyContent(Configuration& configuration, const std::string& key, const Json& record, Findings& findings) -> void
+auto readVersion(const Json& json) -> RecordVersion
 {
-    constexpr std::size_t namedParts = 3;
-    constexpr std::size_t serviceParts = 4;
-    const auto parts = splitKey(key);
-    if (parts.size() == namedParts && parts[1] == "workspaces")
-        applyWorkspace(configuration, parts[2], record.at("content"), findings);
-    else if (parts.size() == namedParts && parts[1] == "templates")
-        applyTemplate(configuration, parts[2], record.at("content"), findings);
-    else if (parts.size() == serviceParts && parts[1] == "services")
-        applyService(configuration, { parts[2], parts[3] }, record, findings);
-    else
-        findings.push_back({ "", "not a key of the configuration" });
+    RecordVersion version;
+    version.revision = json.at("revision").get<Revision>();
+    version.writeId = json.value("write_id", "");
+    version.author = json.value("author", "");
+    version.time = std::chrono::system_clock::time_point(std::chrono::milliseconds(json.value("time_ms", std::int64_t { 0 })));
+    version.templateName = json.value("template", "");
+    version.isDeleted = json.value("deleted", false);
+    version.content = json.at("content");
+    return version;
 }
 
 } // namespace
@@ -84,23 +101,94 @@
 
 } // namespace ConfigurationKeys
 
+auto ConfigurationRecord::findRevision(Revision revision) const -> const RecordVersion*
+{
+    if (this->current.revision == revision)
+        return &this->current;
+    const auto found = std::find_if(this->history.begin(), this->history.end(),
+        [revision](const RecordVersion& version) { return version.revision == revision; });
+    return found == this->history.end() ? nullptr : &*found;
+}
+
+auto ConfigurationRecord::findWrite(const std::string& writeId) const -> const RecordVersion*
+{
+    if (writeId.empty())
+        return nullptr;
+    if (this->current.writeId == writeId)
+        return &this->current;
+    const auto found = std::find_if(this->history.begin(), this->history.end(),
+        [&writeId](const RecordVersion& version) { return version.writeId == writeId; });
+    return found == this->history.end() ? nullptr : &*found;
+}
+
+auto parseRecord(std::string_view value) -> std::optional<ConfigurationRecord>
+{
+    const auto json = Json::parse(value, nullptr, false);
+    if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_unsigned())
+        return std::nullopt;
+    try {
+        ConfigurationRecord record { readVersion(json), {} };
+        for (const auto& version : json.value("history", Json::array()))
+            record.history.push_back(readVersion(version));
+        return record;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+auto toJson(const RecordVersion& version) -> Json
+{
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(version.time.time_since_epoch());
+    Json json { { "revision", version.revision }, { "write_id", version.writeId }, { "author", version.author },
+        { "time_ms", time.count() }, { "content", version.content } };
+    if (!version.templateName.empty())
+        json["template"] = version.templateName;
+    if (version.isDeleted)
+        json["deleted"] = true;
+    return json;
+}
+
+auto formatRecord(const ConfigurationRecord& record) -> std::string
+{
+    auto json = toJson(record.current);
+    json["history"] = Json::array();
+    for (const auto& version : record.history)
+        json["history"].push_back(toJson(version));
+    return json.dump();
+}
+
+auto applyVersion(Configuration& configuration, const std::string& key, const RecordVersion& version, Findings& findings) -> void
+{
+    constexpr std::size_t namedParts = 3;
+    constexpr std::size_t serviceParts = 4;
+    const auto parts = splitKey(key);
+    if (parts.size() == namedParts && parts[1] == "workspaces")
+        applyWorkspace(configuration, parts[2], version, findings);
+    else if (parts.size() == namedParts && parts[1] == "templates")
+        applyTemplate(configuration, parts[2], version, findings);
+    else if (parts.size() == serviceParts && parts[1] == "services")
+        applyService(configuration, { parts[2], parts[3] }, version, findings);
+    else
+        findings.push_back({ "", "not a key of the configuration" });
+}
+
 auto applyRecord(Configuration& configuration, const std::string& key, std::string_view value, Findings& findings) -> bool
 {
-    const auto record = Json::parse(value, nullptr, false);
-    if (!record.is_object() || !record.contains("revision") || !record["revision"].is_number_unsigned() || !record.contains("content")) {
+    const auto record = parseRecord(value);
+    if (!record) {
         findings.push_back({ "", "not a record with a revision and a content" });
         return false;
     }
-    const auto revision = record["revision"].get<Revision>();
-    if (revision <= configuration.revisions[key])
+    if (record->current.revision <= configuration.revisionOf(key))
         return true;
 
     Findings own;
-    applyContent(configuration, key, record, own);
+    applyVersion(configuration, key, record->current, own);
     findings.insert(findings.end(), own.begin(), own.end());
     if (!own.empty())
         return false;
-    configuration.revisions[key] = revision;
+    configuration.revisions[key] = record->current.revision;
+    configuration.records[key] = std::make_shared<const std::string>(value);
     return true;
 }
 
