Operators: Added the administration API and its writer

A change is written by one compare-and-swap and is accepted only when durable; after a lost reply the record is read back and the write id compared. The controller lists again when the store went back, and writes records back that the store lost.

--- a/src/libprimrosefork/configuration.cpp
+++ b/src/libprimrosefork/configuration.cpp
@@ -1,5 +1,7 @@
 #include "configuration.h"
 
+#include "hash.h"
+
 namespace Primrosefork {
 
 auto Configuration::workspaceOfKey(const std::string& keyHash) const -> const Workspace*
@@ -17,6 +19,15 @@
     return found == this->revisions.end() ? 0 : found->second;
 }
 
+auto Configuration::digest() const -> std::string
+{
+    constexpr std::size_t digits = 16;
+    std::string text;
+    for (const auto& [key, revision] : this->revisions)
+        text += key + "=" + std::to_string(revision) + "\n";
+    return sha256Hex(text).substr(0, digits);
+}
+
 auto Configuration::service(const std::string& workspace, const std::string& name) const -> const ServiceRecord*
 {
     const auto found = this->services.find({ workspace, name });
--- a/src/libprimrosefork/configuration.h
+++ b/src/libprimrosefork/configuration.h
@@ -45,6 +45,9 @@
     /** Returns the revision of the record at \a key that is in force, 0 when there is none. */
     [[nodiscard]] auto revisionOf(const std::string& key) const -> Revision;
 
+    /** Returns a digest of all records with their revisions; nodes with the same one have the same in force. */
+    [[nodiscard]] auto digest() const -> std::string;
+
     /** Returns the service \a name of \a workspace, or null. */
     [[nodiscard]] auto service(const std::string& workspace, const std::string& name) const -> const ServiceRecord*;
 };
--- a/src/libprimrosefork/configurationrecord.cpp
+++ b/src/libprimrosefork/configurationrecord.cpp
@@ -172,6 +172,12 @@
         findings.push_back({ "", "not a key of the configuration" });
 }
 
+auto isOlderRecord(const Configuration& configuration, const std::string& key, std::string_view value) -> bool
+{
+    const auto record = parseRecord(value);
+    return record && record->current.revision < configuration.revisionOf(key);
+}
+
 auto applyRecord(Configuration& configuration, const std::string& key, std::string_view value, Findings& findings) -> bool
 {
     const auto record = parseRecord(value);
--- a/src/libprimrosefork/configurationrecord.h
+++ b/src/libprimrosefork/configurationrecord.h
@@ -71,6 +71,9 @@
  */
 auto applyRecord(Configuration& configuration, const std::string& key, std::string_view value, Findings& findings) -> bool;
 
+/** Returns whether \a value is a record with a lower revision than the one at \a key in force. */
+[[nodiscard]] auto isOlderRecord(const Configuration& configuration, const std::string& key, std::string_view value) -> bool;
+
 /** Puts \a version into \a configuration without regard to revisions; adds to \a findings what is wrong with it. */
 auto applyVersion(Configuration& configuration, const std::string& key, const RecordVersion& version, Findings& findings) -> void;
 
--- a/src/libprimrosefork/jsonreader.cpp
+++ b/src/libprimrosefork/jsonreader.cpp
@@ -188,6 +188,12 @@
         this->readObject(value, this->placeOf(key) + "/" + name, [&, &name = name](JsonReader& reader) { read(name, reader); });
 }
 
+auto JsonReader::any(const std::string& key, nlohmann::json& value) -> void
+{
+    if (const auto* field = this->require(key))
+        value = *field;
+}
+
 auto JsonReader::strings(const std::string& key, std::vector<std::string>& values) -> void
 {
     const auto* field = this->find(key);
--- a/src/libprimrosefork/jsonreader.h
+++ b/src/libprimrosefork/jsonreader.h
@@ -52,6 +52,9 @@
     /** Calls \a read with the key and a reader of each member of the object at \a key. */
     auto members(const std::string& key, const std::function<void(const std::string&, JsonReader&)>& read) -> void;
 
+    /** Takes the value at \a key over as it is. */
+    auto any(const std::string& key, nlohmann::json& value) -> void;
+
     auto strings(const std::string& key, std::vector<std::string>& values) -> void;
 
     /** Reports \a message at the field \a key, or at the object itself when it is empty. */
--- a/src/libprimrosefork/nodesettings.h
+++ b/src/libprimrosefork/nodesettings.h
@@ -53,7 +53,7 @@
     std::chrono::milliseconds instancePoll { 1'000 };
     std::chrono::milliseconds loadPoll { 500 };
     std::chrono::milliseconds noticePoll { 500 };
-    std::chrono::milliseconds watch { 20'000 }; ///< One waiting watch of the store.
+    std::chrono::milliseconds watch { 2'000 }; ///< One waiting watch of the store; a silent one is noticed after this and `store`.
 };
 
 /**
--- a/src/node/configurationcontroller.cpp
+++ b/src/node/configurationcontroller.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 
 using namespace std::chrono_literals;
 
@@ -35,12 +36,13 @@
 } // namespace
 
 ConfigurationController::ConfigurationController(EventLoop& loop, KeyValueStore& store, Blackboard& blackboard, const EventLog& log,
-    std::chrono::milliseconds watchTime)
+    const ConfigurationTimes& times)
     : loop(loop)
     , store(store)
     , configuration(blackboard.configuration.acquireWriter(controllerName))
     , log(log)
-    , watchTime(watchTime)
+    , watchTime(times.watch)
+    , restorer(loop, store, blackboard, log, times.longestRestoreDelay)
     , timer(loop, [this] { this->hasListed ? this->watchChanges() : this->listAll(); })
 {
 }
@@ -53,45 +55,96 @@
 auto ConfigurationController::listAll() -> void
 {
     this->store.list(std::string(ConfigurationKeys::all),
-        [this](std::error_code error, const StoreListing& listing) { this->received(error, listing); });
+        [this](std::error_code error, const StoreListing& listing) { this->listed(error, listing); });
 }
 
 auto ConfigurationController::watchChanges() -> void
 {
     this->store.watch(std::string(ConfigurationKeys::all), this->watchedUpTo, this->watchTime,
-        [this](std::error_code error, const StoreListing& listing) { this->received(error, listing); });
+        [this](std::error_code error, const StoreListing& listing) { this->watched(error, listing); });
 }
 
-auto ConfigurationController::received(std::error_code error, const StoreListing& listing) -> void
+auto ConfigurationController::listed(std::error_code error, const StoreListing& listing) -> void
 {
     if (error)
         return this->storeFailed(error);
     this->storeAnswered();
     this->hasListed = true;
-    // A store that was restored from an older copy counts from a lower number; watch from what it has.
+    this->watchedUpTo = listing.revision;
+    this->apply(listing);
+    this->findLostRecords(listing);
+    this->timer.start(changeGap);
+}
+
+auto ConfigurationController::watched(std::error_code error, const StoreListing& listing) -> void
+{
+    if (error)
+        return this->storeFailed(error);
+    this->storeAnswered();
+    // A store that was restored counts from a lower number: changes may hide below the one watched from.
+    this->hasListed = listing.revision >= this->watchedUpTo;
     this->watchedUpTo = listing.revision;
     this->apply(listing);
     this->timer.start(listing.entries.empty() ? 0ms : changeGap);
 }
 
+auto ConfigurationController::putInForce(const std::string& key, const std::string& value) -> void
+{
+    if (!this->hasApplied)
+        return; // The other records must come first: a node with one record of many is not ready.
+    auto next = this->configuration.value();
+    this->applyEntry(next, key, value);
+    this->applyRejected(next);
+    this->configuration.write(std::move(next));
+}
+
 auto ConfigurationController::apply(const StoreListing& listing) -> void
 {
-    const auto& current = this->configuration.value();
-    if (listing.entries.empty() && current.storeRevision != 0)
+    if (listing.entries.empty() && this->hasApplied)
         return;
-    auto next = current;
-    for (const auto& entry : inOrderOfUse(listing.entries))
-        this->applyEntry(next, entry);
-    next.storeRevision = std::max(current.storeRevision, listing.revision);
+    this->hasApplied = true;
+    auto next = this->configuration.value();
+    for (const auto& entry : inOrderOfUse(listing.entries)) {
+        this->applyEntry(next, entry.key, entry.value);
+        next.storeRevision = std::max(next.storeRevision, entry.revision);
+    }
+    this->applyRejected(next);
     this->log.write(Event::ConfigurationApplied, { { "store_revision", std::to_string(next.storeRevision) }, { "records", std::to_string(listing.entries.size()) } });
     this->configuration.write(std::move(next));
 }
 
-auto ConfigurationController::applyEntry(Configuration& next, const StoreEntry& entry) -> void
+auto ConfigurationController::applyEntry(Configuration& next, const std::string& key, const std::string& value) -> void
 {
+    this->rejected.erase(key);
+    if (isOlderRecord(next, key, value)) {
+        this->log.write(Event::ConfigurationOlderIgnored, { { "key", key }, { "in_force", std::to_string(next.revisionOf(key)) } });
+        return this->restorer.recordLost(key);
+    }
+    this->restorer.recordSeen(key);
     Findings findings;
-    if (!applyRecord(next, entry.key, entry.value, findings))
-        this->log.write(Event::ConfigurationRecordRejected, { { "key", entry.key }, { "findings", formatFindings(findings) } });
+    if (applyRecord(next, key, value, findings))
+        return;
+    this->rejected[key] = value;
+    this->log.write(Event::ConfigurationRecordRejected, { { "key", key }, { "findings", formatFindings(findings) } });
+}
+
+auto ConfigurationController::applyRejected(Configuration& next) -> void
+{
+    std::erase_if(this->rejected, [&next](const auto& record) {
+        Findings findings;
+        return applyRecord(next, record.first, record.second, findings);
+    });
+}
+
+auto ConfigurationController::findLostRecords(const StoreListing& listing) -> void
+{
+    std::set<std::string> listedKeys;
+    for (const auto& entry : listing.entries)
+        listedKeys.insert(entry.key);
+    for (const auto& [key, record] : this->configuration.value().records) {
+        if (!listedKeys.contains(key))
+            this->restorer.recordLost(key);
+    }
 }
 
 auto ConfigurationController::storeFailed(std::error_code error) -> void
@@ -112,7 +165,8 @@
 auto ConfigurationController::dumpState() const -> nlohmann::json
 {
     const auto& current = this->configuration.value();
-    return { { "store_revision", current.storeRevision }, { "store_available", this->isStoreAvailable },
+    return { { "store_revision", current.storeRevision }, { "digest", current.digest() },
+        { "store_available", this->isStoreAvailable }, { "lost_in_store", this->restorer.lostCount() }, { "rejected", this->rejected.size() },
         { "workspaces", current.workspaces.size() }, { "templates", current.templates.size() }, { "revisions", current.revisions } };
 }
 
--- a/src/node/configurationcontroller.h
+++ b/src/node/configurationcontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "blackboard.h"
+#include "configurationrestorer.h"
 #include "eventloop.h"
 #include "keyvaluestore.h"
 #include "statesource.h"
@@ -12,26 +13,40 @@
 
 class EventLog;
 
+/** The times that a ConfigurationController keeps to. */
+struct ConfigurationTimes {
+    std::chrono::milliseconds watch { 2'000 }; ///< One waiting watch.
+    std::chrono::milliseconds longestRestoreDelay { 10'000 }; ///< Before a record is written back to a store that lost it.
+};
+
 /**
  * Brings the configuration from the store and keeps it in force: lists it
  * once, then waits with a watch. What is in force stays so while the store is
  * away, and a record never goes back to an older revision.
+ *
+ * Everything is listed again when the store itself went back, as after a restore.
  */
 class ConfigurationController : public StateSource {
 public:
-    ConfigurationController(EventLoop&, KeyValueStore&, Blackboard&, const EventLog&, std::chrono::milliseconds watchTime);
+    ConfigurationController(EventLoop&, KeyValueStore&, Blackboard&, const EventLog&, const ConfigurationTimes&);
 
     auto begin() -> void;
 
+    /** Puts a record in force that is known to be durable, without waiting for the watch. */
+    auto putInForce(const std::string& key, const std::string& value) -> void;
+
     [[nodiscard]] auto stateName() const -> std::string override { return "configuration"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
 private:
     auto listAll() -> void;
     auto watchChanges() -> void;
-    auto received(std::error_code, const StoreListing&) -> void;
+    auto listed(std::error_code, const StoreListing&) -> void;
+    auto watched(std::error_code, const StoreListing&) -> void;
     auto apply(const StoreListing&) -> void;
-    auto applyEntry(Configuration&, const StoreEntry&) -> void;
+    auto applyEntry(Configuration&, const std::string& key, const std::string& value) -> void;
+    auto applyRejected(Configuration&) -> void;
+    auto findLostRecords(const StoreListing&) -> void;
     auto storeFailed(std::error_code) -> void;
     auto storeAnswered() -> void;
 
@@ -40,9 +55,12 @@
     SectionWriter<Configuration> configuration;
     const EventLog& log;
     std::chrono::milliseconds watchTime;
+    ConfigurationRestorer restorer;
     Timer timer;
+    std::map<std::string, std::string> rejected; ///< Records that are not valid, tried again after each change.
     StoreRevision watchedUpTo = 0;
-    bool hasListed = false;
+    bool hasListed = false; ///< Since the start, or since the store went back.
+    bool hasApplied = false;
     bool isStoreAvailable = true;
     std::chrono::milliseconds retryDelay { 0 };
 };
--- /dev/null
+++ b/src/node/configurationwriter.cpp
@@ -0,0 +1,219 @@
+#include "configurationwriter.h"
+
+#include "errors.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr int maxSwaps = 8; ///< Against a store that keeps answering with older revisions.
+
+auto recordOf(const std::optional<StoreEntry>& entry) -> std::optional<ConfigurationRecord>
+{
+    return entry && entry->revision != 0 ? parseRecord(entry->value) : std::nullopt;
+}
+
+auto revisionOf(const std::optional<StoreEntry>& entry) -> StoreRevision
+{
+    return entry ? entry->revision : 0;
+}
+
+auto findEntry(const StoreListing& listing, const std::string& key) -> std::optional<StoreEntry>
+{
+    const auto found = std::find_if(listing.entries.begin(), listing.entries.end(), [&key](const StoreEntry& entry) { return entry.key == key; });
+    return found == listing.entries.end() ? std::nullopt : std::optional(*found);
+}
+
+auto isService(const StoreEntry& entry) -> bool
+{
+    return entry.key.starts_with("config/services/");
+}
+
+/** Returns \a configuration with the records of \a listing that are newer. */
+auto withListing(Configuration configuration, const StoreListing& listing) -> Configuration
+{
+    Findings ignored;
+    for (const auto services : { false, true }) {
+        for (const auto& entry : listing.entries) {
+            if (isService(entry) == services)
+                applyRecord(configuration, entry.key, entry.value, ignored);
+        }
+    }
+    return configuration;
+}
+
+/**
+ * One change on its way into the store. Its callbacks keep it.
+ */
+class ChangeRun : public std::enable_shared_from_this<ChangeRun> {
+public:
+    ChangeRun(EventLoop& loop, KeyValueStore& store, ConfigurationWriterOptions options, std::shared_ptr<const ConfigurationChange> change, ChangeOrigin origin)
+        : store(store)
+        , options(options)
+        , change(std::move(change))
+        , origin(std::move(origin))
+        , timer(loop, [this] { this->readBack(); })
+    {
+    }
+
+    auto begin(Configuration inForce, bool isRepeated) -> void;
+
+    std::function<void(const ChangeReport&)> onDone;
+    std::function<void(const std::string& value)> onAccepted;
+
+private:
+    auto listed(std::error_code, const StoreListing&) -> void;
+    auto prepare(const std::optional<StoreEntry>&) -> void;
+    auto swap() -> void;
+    auto swapped(std::error_code, const StoreSwapResult&) -> void;
+    auto settle() -> void;
+    auto readBack() -> void;
+    auto entryRead(std::error_code, const std::optional<StoreEntry>&) -> void;
+    auto accept(const std::string& value) -> void;
+    auto finish(ChangeOutcome) -> void;
+    auto finishNotWritten() -> void;
+
+    KeyValueStore& store;
+    ConfigurationWriterOptions options;
+    std::shared_ptr<const ConfigurationChange> change;
+    ChangeOrigin origin;
+    Timer timer;
+    std::shared_ptr<ChangeRun> self; ///< While the timer runs.
+    Configuration configuration;
+    PreparedChange prepared;
+    StoreSwap request;
+    int swaps = 0;
+    bool mayBeWritten = false;
+    std::optional<EventLoop::TimePoint> settleEnd;
+};
+
+auto ChangeRun::begin(Configuration inForce, bool isRepeated) -> void
+{
+    this->configuration = std::move(inForce);
+    this->mayBeWritten = isRepeated;
+    this->store.list(std::string(ConfigurationKeys::all),
+        [run = this->shared_from_this()](std::error_code error, const StoreListing& listing) { run->listed(error, listing); });
+}
+
+auto ChangeRun::listed(std::error_code error, const StoreListing& listing) -> void
+{
+    if (error)
+        return this->finishNotWritten();
+    this->configuration = withListing(std::move(this->configuration), listing);
+    this->prepare(findEntry(listing, this->change->key()));
+}
+
+auto ChangeRun::prepare(const std::optional<StoreEntry>& entry) -> void
+{
+    auto record = recordOf(entry);
+    // A store that was restored from an older copy may hold less than what is in force.
+    const auto inForce = this->configuration.records.find(this->change->key());
+    const auto known = inForce == this->configuration.records.end() ? std::nullopt : parseRecord(*inForce->second);
+    if (known && (!record || record->current.revision < known->current.revision))
+        record = known;
+
+    this->prepared = prepareChange(*this->change, this->origin, record, this->configuration);
+    switch (this->prepared.verdict) {
+    case ChangeVerdict::AlreadyAccepted:
+        return this->accept(formatRecord(this->prepared.record));
+    case ChangeVerdict::Invalid:
+        return this->finish(ChangeOutcome::Invalid);
+    case ChangeVerdict::Conflict:
+        return this->finish(ChangeOutcome::Conflict);
+    case ChangeVerdict::NotFound:
+        return this->finish(ChangeOutcome::NotFound);
+    case ChangeVerdict::Ready:
+        this->request = { this->change->key(), revisionOf(entry), formatRecord(this->prepared.record), 0 };
+        return this->swap();
+    }
+}
+
+auto ChangeRun::swap() -> void
+{
+    if (++this->swaps > maxSwaps)
+        return this->finishNotWritten();
+    this->store.compareAndSwap(this->request,
+        [run = this->shared_from_this()](std::error_code error, const StoreSwapResult& result) { run->swapped(error, result); });
+}
+
+auto ChangeRun::swapped(std::error_code error, const StoreSwapResult& result) -> void
+{
+    if (error == Error::ConnectionFailed && !this->mayBeWritten)
+        return this->finishNotWritten();
+    if (error) {
+        this->mayBeWritten = true;
+        return this->settle();
+    }
+    if (result.isSwapped)
+        return this->accept(this->request.value);
+    this->prepare(result.current);
+}
+
+auto ChangeRun::settle() -> void
+{
+    const auto now = EventLoop::now();
+    if (!this->settleEnd)
+        this->settleEnd = now + this->options.settleTime;
+    if (now >= *this->settleEnd)
+        return this->finish(ChangeOutcome::Unknown);
+    this->self = this->shared_from_this();
+    this->timer.start(this->options.settleDelay);
+}
+
+auto ChangeRun::readBack() -> void
+{
+    const auto run = std::exchange(this->self, nullptr);
+    this->store.get(this->request.key,
+        [run](std::error_code error, const std::optional<StoreEntry>& entry) { run->entryRead(error, entry); });
+}
+
+auto ChangeRun::entryRead(std::error_code error, const std::optional<StoreEntry>& entry) -> void
+{
+    if (error)
+        return this->settle();
+    // The first write may still be under way: only the same swap again settles it.
+    if (revisionOf(entry) == this->request.expected)
+        return this->swap();
+    this->prepare(entry);
+}
+
+auto ChangeRun::accept(const std::string& value) -> void
+{
+    this->onAccepted(value);
+    this->finish(ChangeOutcome::Accepted);
+}
+
+auto ChangeRun::finish(ChangeOutcome outcome) -> void
+{
+    this->onDone({ outcome, this->prepared.version, this->prepared.record.current, this->prepared.findings });
+}
+
+auto ChangeRun::finishNotWritten() -> void
+{
+    this->finish(this->mayBeWritten ? ChangeOutcome::Unknown : ChangeOutcome::NotAccepted);
+}
+
+} // namespace
+
+ConfigurationWriter::ConfigurationWriter(EventLoop& loop, KeyValueStore& store, const Blackboard& blackboard, const ConfigurationWriterOptions& options)
+    : loop(loop)
+    , store(store)
+    , blackboard(blackboard)
+    , options(options)
+{
+}
+
+auto ConfigurationWriter::submit(std::shared_ptr<const ConfigurationChange> change, const ChangeOrigin& origin, bool isRepeated, Handler handler) -> void
+{
+    const auto key = change->key();
+    const auto run = std::make_shared<ChangeRun>(this->loop, this->store, this->options, std::move(change), origin);
+    run->onAccepted = [this, key](const std::string& value) { this->recordAccepted.emit(key, value); };
+    run->onDone = std::move(handler);
+    run->begin(this->blackboard.configuration.value(), isRepeated);
+}
+
+} // namespace Primrosefork
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,14 +25,16 @@
     , routing(makeRoutingPolicy(this->settings.routingPolicy))
     , retries(maxAttempts)
     , admission(static_cast<std::size_t>(this->settings.limits.openRequests))
-    , configuration(loop, this->store, this->blackboard, this->log, this->settings.timeouts.watch)
+    , configuration(loop, this->store, this->blackboard, this->log, { .watch = this->settings.timeouts.watch })
+    , configurationWriter(loop, this->store, this->blackboard, {})
     , backends(loop, this->instanceList, this->blackboard, this->log, this->settings.timeouts.instancePoll)
     , load(loop, this->engines, this->blackboard, this->settings.timeouts.loadPoll)
     , notices(loop, this->cloudApi, this->blackboard, this->log, this->settings.timeouts.noticePoll)
     , requests({ loop, this->settings, this->blackboard, *this->routing, this->retries, this->engines, this->plainServices, this->metrics, this->log }, this->admission)
     , lifecycle(loop, this->blackboard, this->log, this->settings.timeouts.drain, [this] { return this->callerServer.openCount(); })
     , callerServer(loop, this->settings, this->requests, this->lifecycle)
-    , operatorServer(loop, this->settings, this->metrics)
+    , administration(this->settings, this->blackboard, this->configurationWriter, this->metrics, this->log)
+    , operatorServer(loop, this->settings, this->metrics, this->administration)
 {
     this->connectSignals();
     this->addStateSources();
@@ -46,6 +48,8 @@
         this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
         this->loop.post([this] { this->loop.stop(); });
     });
+    this->configurationWriter.recordAccepted.connect(
+        [this](const std::string& key, const std::string& value) { this->configuration.putInForce(key, value); });
     this->blackboard.loadReports.changed.connect(
         [this](const LoadReports& reports) { this->routing->loadReported(reports, EventLoop::now()); });
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "administrationapi.h"
 #include "admissionpolicy.h"
 #include "backendcontroller.h"
 #include "blackboard.h"
 #include "callerserver.h"
 #include "configurationcontroller.h"
+#include "configurationwriter.h"
 #include "eventlog.h"
 #include "eventloop.h"
 #include "httpclient.h"
@@ -64,12 +66,14 @@
     FixedRetryPolicy retries;
     CountAdmissionPolicy admission;
     ConfigurationController configuration;
+    ConfigurationWriter configurationWriter;
     BackendController backends;
     LoadController load;
     NoticeController notices;
     RequestController requests;
     LifecycleController lifecycle;
     CallerServer callerServer;
+    AdministrationApi administration;
     OperatorServer operatorServer;
 };
 
--- a/src/node/operatorserver.h
+++ b/src/node/operatorserver.h
@@ -9,9 +9,11 @@
 
 namespace Primrosefork {
 
+class AdministrationApi;
 class Metrics;
 class StateSource;
 struct NodeSettings;
+struct OperatorCredential;
 
 /**
  * The operators' port: metrics, the state dump and the administration API,
@@ -19,7 +21,7 @@
  */
 class OperatorServer {
 public:
-    OperatorServer(EventLoop&, const NodeSettings&, const Metrics&);
+    OperatorServer(EventLoop&, const NodeSettings&, const Metrics&, AdministrationApi&);
 
     auto addSource(const StateSource&) -> void;
     auto listen() -> std::error_code;
@@ -29,10 +31,11 @@
 
 private:
     auto handle(const std::shared_ptr<HttpExchange>&) -> void;
-    [[nodiscard]] auto isAuthorized(const HttpRequest&) const -> bool;
+    [[nodiscard]] auto findOperator(const HttpRequest&) const -> const OperatorCredential*;
 
     const NodeSettings& settings;
     const Metrics& metrics;
+    AdministrationApi& administration;
     std::vector<const StateSource*> sources;
     HttpServer server;
 };
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -18,6 +18,8 @@
     EventDescription { Event::ConfigurationRecordRejected, Severity::Error, "configurationRecordRejected" },
     EventDescription { Event::ConfigurationOlderIgnored, Severity::Warning, "configurationOlderIgnored" },
     EventDescription { Event::ServiceChanged, Severity::Info, "serviceChanged" },
+    EventDescription { Event::ConfigurationRestored, Severity::Warning, "configurationRestored" },
+    EventDescription { Event::ChangeNotAccepted, Severity::Warning, "changeNotAccepted" },
     EventDescription { Event::StoreUnavailable, Severity::Warning, "storeUnavailable" },
     EventDescription { Event::StoreRecovered, Severity::Info, "storeRecovered" },
     EventDescription { Event::InstanceListUnavailable, Severity::Warning, "instanceListUnavailable" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -28,6 +28,8 @@
     ConfigurationRecordRejected = 2002,
     ConfigurationOlderIgnored = 2003,
     ServiceChanged = 2004,
+    ConfigurationRestored = 2005,
+    ChangeNotAccepted = 2006,
     StoreUnavailable = 3001,
     StoreRecovered = 3002,
     InstanceListUnavailable = 3003,
