--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -162,6 +162,7 @@
 
 HttpExchange::HttpExchange(evhttp_request* handle, HttpRequest received, HttpServer& server)
     : handle(handle)
+    , connection(reinterpret_cast<std::uintptr_t>(evhttp_request_get_connection(handle)))
     , received(std::move(received))
     , server(server)
 {
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -5,6 +5,7 @@
 #include "units.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -56,6 +57,9 @@
     /** Closes the connection without ending the answer, so that the client sees it is not whole. */
     auto abort() -> void;
 
+    /** Returns a number that exchanges on the same connection share. */
+    [[nodiscard]] auto connectionId() const -> std::uintptr_t { return this->connection; }
+
     /** Returns whether the client went away before the answer was whole. */
     [[nodiscard]] auto isClosed() const -> bool { return this->hasClosed; }
 
@@ -81,6 +85,7 @@
     auto addHeaders(const HttpHeaders&) -> void;
 
     evhttp_request* handle;
+    std::uintptr_t connection;
     HttpRequest received;
     HttpServer& server;
     bool hasBegun = false;
--- a/src/node/configurationwriter.cpp
+++ b/src/node/configurationwriter.cpp
@@ -68,6 +68,7 @@
 private:
     auto listed(std::error_code, const StoreListing&) -> void;
     auto prepare(const std::optional<StoreEntry>&) -> void;
+    auto conflicted() -> void;
     auto swap() -> void;
     auto swapped(std::error_code, const StoreSwapResult&) -> void;
     auto settle() -> void;
@@ -88,6 +89,7 @@
     StoreSwap request;
     int swaps = 0;
     bool mayBeWritten = false;
+    bool hasReadAgain = false;
     std::optional<EventLoop::TimePoint> settleEnd;
 };
 
@@ -123,7 +125,7 @@
     case ChangeVerdict::Invalid:
         return this->finish(ChangeOutcome::Invalid);
     case ChangeVerdict::Conflict:
-        return this->finish(ChangeOutcome::Conflict);
+        return this->conflicted();
     case ChangeVerdict::NotFound:
         return this->finish(ChangeOutcome::NotFound);
     case ChangeVerdict::Ready:
@@ -132,6 +134,19 @@
     }
 }
 
+auto ChangeRun::conflicted() -> void
+{
+    // A base newer than the record: either the store answered with an older one, or nobody made the base.
+    const auto isOlder = this->prepared.record.current.revision < this->origin.base;
+    if (!isOlder || std::exchange(this->hasReadAgain, true))
+        return this->finish(ChangeOutcome::Conflict);
+    this->store.get(this->change->key(), [run = this->shared_from_this()](std::error_code error, const std::optional<StoreEntry>& entry) {
+        if (error)
+            return run->finishNotWritten();
+        run->prepare(entry);
+    });
+}
+
 auto ChangeRun::swap() -> void
 {
     if (++this->swaps > maxSwaps)
--- a/src/standins/kvstandin.cpp
+++ b/src/standins/kvstandin.cpp
@@ -22,6 +22,11 @@
     exchange->respond({ status, {}, body.dump() });
 }
 
+auto toJson(const std::string& key, const std::string& value, StoreRevision revision) -> Json
+{
+    return { { "key", key }, { "value", value }, { "revision", revision } };
+}
+
 auto queryNumber(const HttpRequest& request, const std::string& name) -> std::uint64_t
 {
     return std::strtoull(request.queryValue(name).value_or("0").c_str(), nullptr, 10);
@@ -46,6 +51,8 @@
 {
     if (exchange->request().path == "/control")
         return this->control(exchange);
+    if (this->isSwallowed(exchange))
+        return;
     if (this->faults.isSilent)
         return this->watches.push_back({ exchange, "\xff", 0, EventLoop::TimePoint::max() });
     if (this->faults.isDown)
@@ -75,20 +82,53 @@
     if (request.method == "POST") {
         const auto body = Json::parse(request.body, nullptr, false);
         if (body.is_object())
-            this->faults.update(body);
+            this->updateControls(body);
     }
     respond(exchange, HttpStatus::ok,
         { { "reads", this->calls.reads }, { "writes", this->calls.writes }, { "watches", this->calls.watches },
             { "leases", this->calls.leases }, { "waiting_watches", this->watches.size() }, { "revision", this->revision } });
 }
 
+auto KvStandin::updateControls(const Json& body) -> void
+{
+    this->faults.update(body);
+    if (body.value("save", false))
+        this->saved = { this->values, this->revision };
+    if (body.value("restore", false)) {
+        this->values = this->saved.values;
+        this->revision = this->saved.revision;
+    }
+    this->isStale = body.value("stale", this->isStale);
+    if (body.value("silence_watches", false))
+        this->silenceWatches();
+}
+
+auto KvStandin::silenceWatches() -> void
+{
+    for (auto& watch : this->watches)
+        this->silenced[watch.exchange->connectionId()].push_back(watch.exchange);
+    this->watches.clear();
+}
+
+auto KvStandin::isSwallowed(const std::shared_ptr<HttpExchange>& exchange) -> bool
+{
+    std::erase_if(this->silenced, [](const auto& connection) { return connection.second.back()->isClosed(); });
+    const auto found = this->silenced.find(exchange->connectionId());
+    if (found == this->silenced.end())
+        return false;
+    found->second.push_back(exchange);
+    return true;
+}
+
 auto KvStandin::get(const std::shared_ptr<HttpExchange>& exchange) -> void
 {
     ++this->calls.reads;
     const auto key = exchange->request().queryValue("key").value_or("");
-    if (!this->values.contains(key))
+    const auto& held = this->isStale ? this->saved.values : this->values;
+    const auto found = held.find(key);
+    if (found == held.end())
         return respond(exchange, HttpStatus::notFound, { { "error", "no such key" } });
-    respond(exchange, HttpStatus::ok, this->entry(key));
+    respond(exchange, HttpStatus::ok, toJson(key, found->second.text, found->second.revision));
 }
 
 auto KvStandin::list(const std::shared_ptr<HttpExchange>& exchange) -> void
@@ -190,27 +230,28 @@
     for (auto watch = this->watches.begin(); watch != this->watches.end();) {
         const auto isOver = watch->end <= EventLoop::now() || watch->exchange->isClosed();
         if (isOver && !watch->exchange->isClosed())
-            respond(watch->exchange, HttpStatus::ok, { { "entries", Json::array() }, { "revision", this->revision } });
+            respond(watch->exchange, HttpStatus::ok, { { "entries", Json::array() }, { "revision", this->isStale ? this->saved.revision : this->revision } });
         watch = isOver ? this->watches.erase(watch) : std::next(watch);
     }
 }
 
 auto KvStandin::listing(const std::string& prefix, StoreRevision after) const -> Json
 {
+    const auto& held = this->isStale ? this->saved.values : this->values;
     auto entries = Json::array();
-    for (auto value = this->values.lower_bound(prefix); value != this->values.end() && value->first.starts_with(prefix); ++value) {
+    for (auto value = held.lower_bound(prefix); value != held.end() && value->first.starts_with(prefix); ++value) {
         if (value->second.revision > after)
-            entries.push_back(this->entry(value->first));
+            entries.push_back(toJson(value->first, value->second.text, value->second.revision));
     }
-    return { { "entries", std::move(entries) }, { "revision", this->revision } };
+    return { { "entries", std::move(entries) }, { "revision", this->isStale ? this->saved.revision : this->revision } };
 }
 
 auto KvStandin::entry(const std::string& key) const -> Json
 {
     const auto found = this->values.find(key);
     if (found == this->values.end())
-        return { { "key", key }, { "value", "" }, { "revision", 0 } };
-    return { { "key", key }, { "value", found->second.text }, { "revision", found->second.revision } };
+        return toJson(key, "", 0);
+    return toJson(key, found->second.text, found->second.revision);
 }
 
 } // namespace Primrosefork
--- a/src/standins/kvstandin.h
+++ b/src/standins/kvstandin.h
@@ -12,11 +12,17 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 namespace Primrosefork {
 
 /**
  * Stands in for the platform's key-value service and counts its calls.
+ *
+ * POST /control takes the fields of Faults, and besides: "save" (keep what the
+ * store holds now), "stale" (answer reads and watches from what was saved),
+ * "restore" (hold what was saved again) and "silence_watches" (the connections
+ * with a waiting watch swallow everything from now on; new ones work).
  */
 class KvStandin {
 public:
@@ -43,6 +49,12 @@
         EventLoop::TimePoint end;
     };
 
+    /** What the store held at one moment. */
+    struct Snapshot {
+        std::map<std::string, Value> values;
+        StoreRevision revision = 0;
+    };
+
     struct Calls {
         std::uint64_t reads = 0;
         std::uint64_t writes = 0;
@@ -53,6 +65,9 @@
     auto handle(const std::shared_ptr<HttpExchange>&) -> void;
     auto serve(const std::shared_ptr<HttpExchange>&) -> void;
     auto control(const std::shared_ptr<HttpExchange>&) -> void;
+    auto updateControls(const nlohmann::json&) -> void;
+    auto silenceWatches() -> void;
+    [[nodiscard]] auto isSwallowed(const std::shared_ptr<HttpExchange>&) -> bool;
     auto get(const std::shared_ptr<HttpExchange>&) -> void;
     auto list(const std::shared_ptr<HttpExchange>&) -> void;
     auto compareAndSwap(const std::shared_ptr<HttpExchange>&) -> void;
@@ -72,8 +87,11 @@
     Faults faults;
     Calls calls;
     std::map<std::string, Value> values;
+    Snapshot saved; ///< By the control "save".
+    bool isStale = false; ///< Reads and watches are answered from what was saved.
     std::map<LeaseId, Lease> leases;
     std::list<Watch> watches;
+    std::map<std::uintptr_t, std::vector<std::shared_ptr<HttpExchange>>> silenced; ///< Connections that swallow every call, with the calls.
     StoreRevision revision = 1;
     LeaseId nextLease = 1;
 };
--- a/tests/configuration/test_configurationchange.cpp
+++ b/tests/configuration/test_configurationchange.cpp
@@ -48,7 +48,7 @@
 }
 
 struct ChangeCase {
-    const char* name;
+    std::string name;
     std::shared_ptr<const ConfigurationChange> change;
     Revision base;
     const char* writeId;
@@ -161,7 +161,7 @@
 }
 
 struct OlderCase {
-    const char* name;
+    std::string name;
     Revision revision;
     const char* pool; ///< In force afterwards.
 };
@@ -202,7 +202,7 @@
 }
 
 struct BadRecordCase {
-    const char* name;
+    std::string name;
     const char* value;
 };
 
