--- a/src/standins/kvstandin.cpp
+++ b/src/standins/kvstandin.cpp
@@ -99,6 +99,7 @@
         this->revision = this->saved.revision;
     }
     this->isStale = body.value("stale", this->isStale);
+    this->isDownAfterWrite = body.value("down_after_write", this->isDownAfterWrite);
     if (body.value("silence_watches", false))
         this->silenceWatches();
 }
@@ -156,6 +157,7 @@
     const auto leaseHolds = lease == 0 || this->leases.contains(lease);
     if (current != body.value("expected", StoreRevision { 0 }) || !leaseHolds)
         return { { "swapped", false }, { "current", this->entry(key) } };
+    this->faults.isDown = this->faults.isDown || this->isDownAfterWrite;
     this->values[key] = { body["value"].get<std::string>(), ++this->revision, lease };
     this->wakeWatches();
     return { { "swapped", true }, { "current", this->entry(key) } };
--- a/src/standins/kvstandin.h
+++ b/src/standins/kvstandin.h
@@ -21,7 +21,8 @@
  *
  * POST /control takes the fields of Faults, and besides: "save" (keep what the
  * store holds now), "stale" (answer reads and watches from what was saved),
- * "restore" (hold what was saved again) and "silence_watches" (the connections
+ * "restore" (hold what was saved again), "down_after_write" (down as soon as a
+ * write has taken effect) and "silence_watches" (the connections
  * with a waiting watch swallow everything from now on; new ones work).
  */
 class KvStandin {
@@ -88,6 +89,7 @@
     Calls calls;
     std::map<std::string, Value> values;
     Snapshot saved; ///< By the control "save".
+    bool isDownAfterWrite = false; ///< The next write that takes effect is the last call answered.
     bool isStale = false; ///< Reads and watches are answered from what was saved.
     std::map<LeaseId, Lease> leases;
     std::list<Watch> watches;
