--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,7 +26,8 @@
     , retries(maxAttempts)
     , admission(static_cast<std::size_t>(this->settings.limits.openRequests))
     , claims(loop, this->store, this->settings, this->metrics, this->log)
-    , configuration(loop, this->store, this->blackboard, this->log, this->settings.timeouts.watch)
+    , configuration(loop, this->store, this->blackboard, this->log, { .watch = this->settings.timeouts.watch })
+    , configurationWriter(loop, this->store, this->blackboard, {})
     , backends(loop, this->instanceList, this->blackboard, this->log, this->settings.timeouts.instancePoll)
     , load(loop, this->engines, this->blackboard, this->settings.timeouts.loadPoll)
     , notices(loop, this->cloudApi, this->blackboard, this->log, this->settings.timeouts.noticePoll)
@@ -35,7 +36,8 @@
     , requests({ loop, this->settings, this->blackboard, *this->routing, this->retries, this->engines, this->plainServices, this->metrics, this->log, this->claims }, this->admission)
     , lifecycle(loop, this->blackboard, this->log, this->settings.timeouts.drain, [this] { return this->callerServer.openCount() + this->claims.heldCount(); })
     , callerServer(loop, this->settings, this->requests, this->lifecycle)
-    , operatorServer(loop, this->settings, this->metrics)
+    , administration(this->settings, this->blackboard, this->configurationWriter, this->metrics, this->log)
+    , operatorServer(loop, this->settings, this->metrics, this->administration)
 {
     this->connectSignals();
     this->connectPeers();
@@ -52,6 +54,8 @@
         this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
         this->loop.post([this] { this->loop.stop(); });
     });
+    this->configurationWriter.recordAccepted.connect(
+        [this](const StoreEntry& entry) { this->configuration.putInForce(entry); });
     this->blackboard.loadReports.changed.connect(
         [this](const LoadReports& reports) { this->routing->loadReported(reports, EventLoop::now()); });
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "administrationapi.h"
 #include "admissionpolicy.h"
 #include "backendcontroller.h"
 #include "blackboard.h"
 #include "callerserver.h"
 #include "configurationcontroller.h"
 #include "configurationfetcher.h"
+#include "configurationwriter.h"
 #include "eventlog.h"
 #include "eventloop.h"
 #include "httpclient.h"
@@ -70,6 +72,7 @@
     CountAdmissionPolicy admission;
     StoreClaimKeeper claims;
     ConfigurationController configuration;
+    ConfigurationWriter configurationWriter;
     BackendController backends;
     LoadController load;
     NoticeController notices;
@@ -78,6 +81,7 @@
     RequestController requests;
     LifecycleController lifecycle;
     CallerServer callerServer;
+    AdministrationApi administration;
     OperatorServer operatorServer;
 };
 
