--- a/src/libprimrosefork/nodesettings.cpp
+++ b/src/libprimrosefork/nodesettings.cpp
@@ -98,11 +98,13 @@
     reader.duration("watch", timeouts.watch, 100ms, 10min);
 }
 
-auto readClaims(JsonReader& reader, ClaimSettings& claims) -> void
+auto readClaims(JsonReader& reader, const Timeouts& timeouts, ClaimSettings& claims) -> void
 {
     reader.duration("retention", claims.retention, 1s, 168h);
     reader.duration("wait", claims.wait, 10ms, 1min);
     reader.size("answer_size", claims.answerBytes, 0, 512 * kibibyte);
+    if (reader.has("wait") && claims.wait < timeouts.store)
+        reader.report("wait", "clashes with /timeouts/store: must not be shorter");
 }
 
 auto readOperators(JsonReader& reader, NodeSettings& settings) -> void
@@ -149,7 +151,7 @@
     reader.optionalObject("peers", [&settings](JsonReader& peers) { readPeers(peers, settings); });
     reader.optionalObject("limits", [&settings](JsonReader& limits) { readLimits(limits, settings.limits); });
     reader.optionalObject("timeouts", [&settings](JsonReader& timeouts) { readTimeouts(timeouts, settings.timeouts); });
-    reader.optionalObject("claims", [&settings](JsonReader& claims) { readClaims(claims, settings.claims); });
+    reader.optionalObject("claims", [&settings](JsonReader& claims) { readClaims(claims, settings.timeouts, settings.claims); });
     readOperators(reader, settings);
     reader.optionalString("routing_policy", settings.routingPolicy);
     requireOneOf(reader, "routing_policy", settings.routingPolicy, routingPolicies);
--- a/src/measure/once/claimcost.cpp
+++ b/src/measure/once/claimcost.cpp
@@ -87,17 +87,32 @@
     return cost;
 }
 
+auto measureVolume(Cluster& cluster) -> ClaimVolume
+{
+    ClaimVolume volume;
+    const auto result = cluster.client().get(cluster.keyValueService(), "/v1/list?prefix=claims/");
+    const auto listing = Json::parse(result.response.body, nullptr, false);
+    if (!listing.is_object())
+        return volume;
+    for (const auto& entry : listing["entries"]) {
+        ++volume.records;
+        volume.bytes += entry["key"].get<std::string>().size() + entry["value"].get<std::string>().size();
+    }
+    return volume;
+}
+
 } // namespace
 
-auto measureClaimCost(std::size_t calls, std::chrono::milliseconds storeDelay) -> std::vector<CallCost>
+auto measureClaimCost(std::size_t calls, std::chrono::milliseconds storeDelay) -> ClaimCosts
 {
-    std::vector<CallCost> costs;
+    ClaimCosts costs;
     Cluster cluster(clusterOptions());
     if (!cluster.start())
         return costs;
     cluster.control(cluster.keyValueService(), { { "delay_ms", storeDelay.count() } });
     for (const auto& kind : callKinds)
-        costs.push_back(measureKind(cluster, kind, calls));
+        costs.kinds.push_back(measureKind(cluster, kind, calls));
+    costs.volume = measureVolume(cluster);
     return costs;
 }
 
--- a/src/measure/once/claimcost.h
+++ b/src/measure/once/claimcost.h
@@ -20,10 +20,22 @@
     std::chrono::milliseconds processorTime { 0 }; ///< Of the node, for all calls.
 };
 
+/** What the claims of a measurement left in the store. */
+struct ClaimVolume {
+    std::size_t records = 0;
+    std::size_t bytes = 0; ///< Of keys and values.
+};
+
+/** What measureClaimCost() found. */
+struct ClaimCosts {
+    std::vector<CallCost> kinds;
+    ClaimVolume volume;
+};
+
 /**
  * Measures calls one after the other without faults: idempotent, not
  * idempotent, and asked again. The store answers after \a storeDelay.
  */
-[[nodiscard]] auto measureClaimCost(std::size_t calls, std::chrono::milliseconds storeDelay) -> std::vector<CallCost>;
+[[nodiscard]] auto measureClaimCost(std::size_t calls, std::chrono::milliseconds storeDelay) -> ClaimCosts;
 
 } // namespace Primrosefork::Measure
--- a/src/measure/once/main.cpp
+++ b/src/measure/once/main.cpp
@@ -1,6 +1,7 @@
 #include "claimcost.h"
 #include "mixedrun.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <exception>
 #include <gflags/gflags.h>
@@ -25,18 +26,20 @@
     return static_cast<double>(count) / static_cast<double>(calls);
 }
 
-auto printCosts(const std::vector<CallCost>& costs) -> bool
+auto printCosts(const ClaimCosts& costs) -> bool
 {
     std::cout << "cost of " << FLAGS_calls << " calls of each kind, the store answers after " << FLAGS_store_delay_ms << " ms\n"
               << std::fixed << std::setprecision(2);
-    auto isWhole = !costs.empty();
-    for (const auto& cost : costs) {
+    auto isWhole = !costs.kinds.empty();
+    for (const auto& cost : costs.kinds) {
         isWhole = isWhole && cost.failed == 0;
         std::cout << "  " << cost.name << ": store writes per call " << perCall(cost.storeWrites, cost.calls) << ", reads and watches "
                   << perCall(cost.storeReads, cost.calls) << ", leases in all " << cost.storeLeases << ", median " << cost.median.count()
                   << " us, 95 of 100 below " << cost.slow.count() << " us, node's processor time "
                   << static_cast<double>(cost.processorTime.count()) * 1000 / static_cast<double>(cost.calls) << " us per call, failed " << cost.failed << "\n";
     }
+    const auto& volume = costs.volume;
+    std::cout << "  left in the store: " << volume.records << " records, " << volume.bytes / std::max<std::size_t>(volume.records, 1) << " bytes each\n";
     return isWhole;
 }
 
--- a/src/testkit/bookingclient.cpp
+++ b/src/testkit/bookingclient.cpp
@@ -48,7 +48,7 @@
     HttpCallOptions options;
     options.usesFreshConnection = true;
     options.firstByteTimeout = this->deadline + answerGrace;
-    const auto answer = std::make_shared<BookingAnswer>();
+    auto answer = std::make_shared<BookingAnswer>();
     const auto call = this->cluster.client().httpClient().fetch(this->cluster.callers(node), request, options,
         [answer, begun = EventLoop::now()](std::error_code error, const HttpResponse& response) {
             answer->elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - begun);
--- a/tests/once/test_once.cpp
+++ b/tests/once/test_once.cpp
@@ -247,6 +247,62 @@
     CHECK(bookings.runsOf("k1") == 1);
 }
 
+TEST_CASE("a silent connection to the store costs one timeout and no call")
+{
+    Cluster cluster(optionsOf(1));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    REQUIRE(bookings.confirm(0, "warm", "{}").status == 200);
+    const auto before = cluster.control(cluster.keyValueService(), { { "silent", true } })["waiting_watches"].get<std::int64_t>();
+    const auto answer = bookings.begin(0, "k1", R"({"chair":1})");
+    const auto hasArrived = [&cluster, before] {
+        return cluster.control(cluster.keyValueService(), Json::object())["waiting_watches"].get<std::int64_t>() > before;
+    };
+    REQUIRE(cluster.client().waitUntil(hasArrived, 5s));
+
+    cluster.control(cluster.keyValueService(), { { "silent", false } });
+    REQUIRE(bookings.waitFor(*answer));
+
+    CHECK(answer->status == 200);
+    CHECK(answer->elapsed < 3s);
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
+TEST_CASE("a key is forgotten after its retention and not before")
+{
+    auto options = optionsOf(2);
+    options.settings = { { "claims", { { "retention", "2s" } } } };
+    Cluster cluster(options);
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    const auto begun = EventLoop::now();
+    REQUIRE(bookings.confirm(0, "k1", R"({"chair":1})").status == 200);
+
+    const auto isRunAgain = [&bookings] { return !bookings.confirm(1, "k1", R"({"chair":1})").isReplayed; };
+    REQUIRE(cluster.client().waitUntil(isRunAgain, 20s));
+    const auto remembered = EventLoop::now() - begun;
+
+    CHECK(remembered >= 2s);
+    CHECK(remembered < 5s);
+    CHECK(bookings.runsOf("k1") == 2);
+}
+
+TEST_CASE("a repeated ask that the store cannot judge is not called \"not run\"")
+{
+    Cluster cluster(optionsOf(2));
+    REQUIRE(cluster.start());
+    BookingClient bookings(cluster);
+    REQUIRE(bookings.confirm(0, "k1", R"({"chair":1})").status == 200);
+    cluster.control(cluster.keyValueService(), { { "down", true } });
+
+    bookings.setRepeated(true);
+    const auto second = bookings.confirm(1, "k1", R"({"chair":1})");
+
+    CHECK(second.error == "claims_unavailable");
+    CHECK(second.execution == "unknown");
+    CHECK(bookings.runsOf("k1") == 1);
+}
+
 struct ServiceFaultCase {
     const char* name;
     const char* fault; ///< For the control call of each plain service.
--- a/tests/settings/test_nodesettings.cpp
+++ b/tests/settings/test_nodesettings.cpp
@@ -46,6 +46,12 @@
         { { "/peers/keys", "needed when /listen/peers is set" } } },
     { "unknown routing policy", R"({"routing_policy": "best"})",
         { { "/routing_policy", "expected one of product round-robin least-outstanding least-reported-load" } } },
+    { "retention of claims without its unit", R"({"claims": {"retention": 24}})",
+        { { "/claims/retention", "missing unit, write a duration as \"250ms\", \"5s\", \"2m\" or \"1h\"" } } },
+    { "retention of claims out of range", R"({"claims": {"retention": "200h"}})",
+        { { "/claims/retention", "out of range, expected 1000 to 604800000 ms" } } },
+    { "wait for a claim shorter than a call of the store", R"({"claims": {"wait": "1s"}})",
+        { { "/claims/wait", "clashes with /timeouts/store: must not be shorter" } } },
     { "several findings in one run", R"({"node": {"id": 7}, "log_level": "loud", "extra": true})",
         { { "/node/id", "expected a string" }, { "/log_level", "expected one of debug info warn error" }, { "/extra", "unknown key" } } },
 };
