--- /dev/null
+++ b/src/measure/promises/replay.cpp
@@ -0,0 +1,254 @@
+#include "replay.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork::Measure {
+
+namespace {
+
+using Json = nlohmann::json;
+
+auto toOptions(const Json& cluster) -> Testkit::ClusterOptions
+{
+    Testkit::ClusterOptions options;
+    options.nodes = cluster.value("nodes", std::size_t { 3 });
+    options.engines = cluster.value("engines", std::size_t { 6 });
+    options.plainServices = cluster.value("plain_services", std::size_t { 3 });
+    options.zones = cluster.value("zones", std::size_t { 3 });
+    options.hasProcessPerZone = true;
+    options.engine = cluster.value("engine", Json::object());
+    options.plainService = cluster.value("plain_service", Json::object());
+    options.settings = cluster.value("settings", Json::object());
+    return options;
+}
+
+auto indexOf(const std::string& name) -> std::size_t
+{
+    return static_cast<std::size_t>(std::stoul(name.substr(name.rfind('-') + 1)));
+}
+
+auto atMost(const std::string& name, std::int64_t figure, std::int64_t limit) -> ReplayResult
+{
+    return { name + " <= " + std::to_string(limit), std::to_string(figure), figure <= limit };
+}
+
+} // namespace
+
+Replay::Replay(const Trace& trace)
+    : trace(trace)
+    , options(toOptions(trace.cluster))
+    , cluster(this->options)
+    , bookings(this->cluster)
+    , random(trace.seed)
+{
+}
+
+Replay::~Replay() = default;
+
+auto Replay::run() -> std::vector<ReplayResult>
+{
+    if (!this->cluster.start())
+        return { { "the cluster starts", "not all nodes were ready", false } };
+    const auto start = EventLoop::now();
+    for (const auto& step : this->trace.steps) {
+        this->waitUntil(start + step.at);
+        this->perform(step);
+    }
+    std::vector<ReplayResult> results;
+    const auto isAnswered = this->waitForAnswers();
+    results.push_back({ "every caller has its answer in time", isAnswered ? "yes" : "no", isAnswered });
+    for (const auto& expectation : this->trace.expectations)
+        results.push_back(this->check(expectation));
+    return results;
+}
+
+auto Replay::waitUntil(EventLoop::TimePoint moment) -> void
+{
+    const auto isThere = [this, moment] {
+        this->sendArrivals();
+        return EventLoop::now() >= moment;
+    };
+    this->cluster.client().waitUntil(isThere, this->trace.limit);
+}
+
+auto Replay::waitForAnswers() -> bool
+{
+    const auto isAnswered = [this] {
+        this->sendArrivals();
+        return this->arrivals.empty() && this->bookings.areDone()
+            && std::all_of(this->callers.begin(), this->callers.end(), [](const auto& caller) { return caller->record().isWhole; });
+    };
+    return this->cluster.client().waitUntil(isAnswered, this->trace.limit);
+}
+
+auto Replay::draw(std::int64_t from, std::int64_t to) -> std::int64_t
+{
+    const auto span = static_cast<std::uint64_t>(to - from + 1);
+    return from + static_cast<std::int64_t>(this->random() % span);
+}
+
+auto Replay::addArrivals(const TraceStep& step) -> void
+{
+    const auto& json = step.arguments;
+    const auto over = json.value("over_ms", std::int64_t { 0 });
+    this->idleLimit = std::chrono::milliseconds(json.value("idle_limit_ms", this->idleLimit.count()));
+    for (std::int64_t index = 0; index < json.at("count").get<std::int64_t>(); ++index) {
+        Arrival arrival;
+        arrival.at = EventLoop::now() + std::chrono::milliseconds(this->draw(0, over));
+        arrival.isBooking = step.action == "bookings";
+        arrival.node = static_cast<std::size_t>(this->draw(0, static_cast<std::int64_t>(this->options.nodes) - 1));
+        arrival.tokens = this->draw(json.value("tokens_from", std::int64_t { 1 }), json.value("tokens_to", std::int64_t { 1 }));
+        this->arrivals.push_back(arrival);
+    }
+    std::stable_sort(this->arrivals.begin(), this->arrivals.end(), [](const Arrival& first, const Arrival& second) { return first.at > second.at; });
+}
+
+auto Replay::sendArrivals() -> void
+{
+    while (!this->arrivals.empty() && this->arrivals.back().at <= EventLoop::now()) {
+        const auto arrival = this->arrivals.back();
+        this->arrivals.pop_back();
+        if (arrival.isBooking)
+            this->bookings.send(arrival.node);
+        else
+            this->startStream(arrival);
+    }
+}
+
+auto Replay::startStream(const Arrival& arrival) -> void
+{
+    Testkit::StreamOrder order;
+    for (std::size_t node = 0; node < this->options.nodes; ++node)
+        order.nodes.push_back(this->cluster.callers(node));
+    order.firstNode = arrival.node;
+    order.prompt = this->trace.name + " " + std::to_string(this->callers.size());
+    order.tokens = arrival.tokens;
+    order.idleLimit = this->idleLimit;
+    this->callers.push_back(std::make_unique<Testkit::StreamCaller>(this->cluster.client(), std::move(order)));
+    this->callers.back()->begin();
+}
+
+auto Replay::perform(const TraceStep& step) -> void
+{
+    const auto& json = step.arguments;
+    const auto name = json.value("process", json.value("stand_in", ""));
+    if (step.action == "streams" || step.action == "bookings")
+        return this->addArrivals(step);
+    if (step.action == "kill")
+        return this->process(name).sendSignal(SIGKILL);
+    if (step.action == "terminate")
+        return this->process(name).sendSignal(SIGTERM);
+    if (step.action == "freeze")
+        return this->process(name).sendSignal(SIGSTOP);
+    if (step.action == "thaw")
+        return this->process(name).sendSignal(SIGCONT);
+    if (step.action == "notice")
+        static_cast<void>(this->cluster.control(this->cluster.cloudApi(), { { "reclaim", json.at("instances") }, { "remaining_ms", json.at("remaining_ms") } }));
+    else if (step.action == "control")
+        static_cast<void>(this->cluster.control(this->address(name), json.at("body")));
+    else if (step.action == "sample")
+        this->samples[name] = this->cluster.control(this->address(name), Json::object()).value("started_streams", std::int64_t { 0 });
+    else if (step.action == "start")
+        this->cluster.startNode(indexOf(name));
+    else
+        throw std::runtime_error("unknown action " + step.action);
+}
+
+auto Replay::process(const std::string& name) -> Testkit::Process&
+{
+    if (name.starts_with("node-"))
+        return this->cluster.node(indexOf(name));
+    if (name.starts_with("engines-"))
+        return this->cluster.engines(indexOf(name));
+    throw std::runtime_error("unknown process " + name);
+}
+
+auto Replay::address(const std::string& name) const -> Address
+{
+    if (name == "store")
+        return this->cluster.keyValueService();
+    if (name == "instance_list")
+        return this->cluster.instanceList();
+    if (name == "cloud")
+        return this->cluster.cloudApi();
+    if (name.starts_with("plain-"))
+        return this->cluster.plainService(indexOf(name));
+    if (name.starts_with("engine-"))
+        return this->cluster.engine(indexOf(name));
+    throw std::runtime_error("unknown stand-in " + name);
+}
+
+auto Replay::check(const TraceExpectation& expectation) -> ReplayResult
+{
+    const auto totals = Testkit::totalsOf(this->callers);
+    const auto& json = expectation.arguments;
+    const auto count = static_cast<std::int64_t>(this->callers.size());
+    if (expectation.name == "right") {
+        const auto figure = std::to_string(totals.right) + " of " + std::to_string(count) + ", gaps " + std::to_string(totals.gaps) + ", repeats "
+            + std::to_string(totals.repeats) + ", wrong tokens " + std::to_string(totals.wrongTokens);
+        return { "every byte and offset of every stream is right", figure, totals.right == count };
+    }
+    if (expectation.name == "longest_stall_ms")
+        return atMost("longest stall in ms", totals.longestStall.count(), json.at("at_most").get<std::int64_t>());
+    if (expectation.name == "longest_first_token_ms")
+        return atMost("longest wait for a first token in ms", totals.longestFirstToken.count(), json.at("at_most").get<std::int64_t>());
+    if (expectation.name == "asked_again")
+        return atMost("times that callers had to ask again", totals.asks - count, json.at("at_most").get<std::int64_t>());
+    if (expectation.name == "recomputed_tokens")
+        return atMost("prompt tokens computed again", this->recomputedTokens(), json.at("at_most").get<std::int64_t>());
+    if (expectation.name == "exits") {
+        const auto code = this->process(json.at("process").get<std::string>()).waitForExit(this->trace.limit);
+        return { json.at("process").get<std::string>() + " ends by itself", code ? std::to_string(*code) : "still running", code == 0 };
+    }
+    if (expectation.name == "no_new_work") {
+        const auto name = json.at("stand_in").get<std::string>();
+        const auto started = this->cluster.control(this->address(name), Json::object()).value("started_streams", std::int64_t { -1 });
+        return { "no new work on " + name + " after the sample", std::to_string(started - this->samples.at(name)), started == this->samples.at(name) };
+    }
+    if (expectation.name == "bookings")
+        return this->checkBookings(expectation);
+    if (expectation.name == "engines_idle")
+        return this->checkIdle(expectation);
+    throw std::runtime_error("unknown expectation " + expectation.name);
+}
+
+auto Replay::checkBookings(const TraceExpectation& expectation) -> ReplayResult
+{
+    const auto totals = this->bookings.totals(this->options.plainServices);
+    const auto least = expectation.arguments.value("confirmed_at_least", std::int64_t { 0 });
+    const auto figure = std::to_string(totals.confirmed) + " of " + std::to_string(totals.calls) + " confirmed, run twice " + std::to_string(totals.runTwice)
+        + ", falsely \"not run\" " + std::to_string(totals.falselyNotRun) + ", falsely confirmed " + std::to_string(totals.falselyRun);
+    const auto hasPassed = totals.confirmed >= least && totals.runTwice + totals.falselyNotRun + totals.falselyRun == 0;
+    return { "bookings run at most once, and \"not run\" is true", figure, hasPassed };
+}
+
+auto Replay::checkIdle(const TraceExpectation& expectation) -> ReplayResult
+{
+    constexpr auto idleTime = 10s;
+    const auto engines = expectation.arguments.at("stand_ins").get<std::vector<std::string>>();
+    const auto isIdle = [&] {
+        return std::all_of(engines.begin(), engines.end(), [this](const std::string& name) {
+            const auto state = this->cluster.control(this->address(name), Json::object());
+            return state.is_object() && state.value("running", -1) == 0 && state.value("waiting", -1) == 0;
+        });
+    };
+    const auto hasPassed = this->cluster.client().waitUntil(isIdle, idleTime);
+    return { "no stream goes on at an engine without its caller", hasPassed ? "none" : "some", hasPassed };
+}
+
+auto Replay::recomputedTokens() -> std::int64_t
+{
+    double tokens = 0;
+    for (std::size_t node = 0; node < this->options.nodes; ++node) {
+        if (this->cluster.node(node).isRunning())
+            tokens += Testkit::readMetric(this->cluster.client(), this->cluster.operators(node), "recomputed_tokens_total");
+    }
+    return static_cast<std::int64_t>(tokens);
+}
+
+} // namespace Primrosefork::Measure
--- /dev/null
+++ b/src/measure/promises/replay.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bookingcalls.h"
+#include "cluster.h"
+#include "streamcaller.h"
+#include "trace.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Primrosefork::Measure {
+
+/** Whether one expectation of a trace was met. */
+struct ReplayResult {
+    std::string expectation;
+    std::string figure; ///< What was seen.
+    bool hasPassed = false;
+};
+
+/**
+ * Replays one trace against real processes, with the checks of all callers
+ * and the counts of all stand-ins.
+ */
+class Replay {
+public:
+    explicit Replay(const Trace&);
+    ~Replay();
+    Replay(const Replay&) = delete;
+    auto operator=(const Replay&) -> Replay& = delete;
+
+    auto run() -> std::vector<ReplayResult>;
+
+private:
+    struct Arrival {
+        EventLoop::TimePoint at;
+        bool isBooking = false;
+        std::size_t node = 0;
+        std::int64_t tokens = 0;
+    };
+
+    auto perform(const TraceStep&) -> void;
+    auto addArrivals(const TraceStep&) -> void;
+    auto sendArrivals() -> void;
+    auto startStream(const Arrival&) -> void;
+    auto waitUntil(EventLoop::TimePoint) -> void;
+    auto waitForAnswers() -> bool;
+    auto process(const std::string& name) -> Testkit::Process&;
+    auto address(const std::string& name) const -> Address;
+    auto draw(std::int64_t from, std::int64_t to) -> std::int64_t;
+    auto check(const TraceExpectation&) -> ReplayResult;
+    auto checkBookings(const TraceExpectation&) -> ReplayResult;
+    auto checkIdle(const TraceExpectation&) -> ReplayResult;
+    [[nodiscard]] auto recomputedTokens() -> std::int64_t;
+
+    const Trace& trace;
+    Testkit::ClusterOptions options;
+    Testkit::Cluster cluster;
+    BookingCalls bookings;
+    std::vector<std::unique_ptr<Testkit::StreamCaller>> callers;
+    std::vector<Arrival> arrivals; ///< By time, the last one first.
+    std::map<std::string, std::int64_t> samples; ///< Started streams by stand-in, taken by the step "sample".
+    std::mt19937_64 random;
+    std::chrono::milliseconds idleLimit { 10'000 };
+};
+
+} // namespace Primrosefork::Measure
