--- a/src/libprimrosefork/streampace.h
+++ b/src/libprimrosefork/streampace.h
@@ -21,6 +21,9 @@
     /** Returns the usual time between two pieces. */
     [[nodiscard]] auto tokenGap() const -> std::chrono::microseconds { return this->gap; }
 
+    /** Returns whether the attempt is silent for too long at \a now. */
+    [[nodiscard]] auto isSilent(TimePoint now) const -> bool { return now - this->last >= this->silenceLimit(); }
+
     /** Returns how long the attempt may be silent, counted from its last piece or from its start. */
     [[nodiscard]] auto silenceLimit() const -> std::chrono::microseconds;
 
--- a/src/measure/promises/replay.cpp
+++ b/src/measure/promises/replay.cpp
@@ -13,6 +13,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t bytesPerToken = 4;
+
 auto toOptions(const Json& cluster) -> Testkit::ClusterOptions
 {
     Testkit::ClusterOptions options;
@@ -103,6 +105,7 @@
         arrival.isBooking = step.action == "bookings";
         arrival.node = static_cast<std::size_t>(this->draw(0, static_cast<std::int64_t>(this->options.nodes) - 1));
         arrival.tokens = this->draw(json.value("tokens_from", std::int64_t { 1 }), json.value("tokens_to", std::int64_t { 1 }));
+        arrival.promptTokens = json.value("prompt_tokens", std::int64_t { 0 });
         this->arrivals.push_back(arrival);
     }
     std::stable_sort(this->arrivals.begin(), this->arrivals.end(), [](const Arrival& first, const Arrival& second) { return first.at > second.at; });
@@ -127,6 +130,8 @@
         order.nodes.push_back(this->cluster.callers(node));
     order.firstNode = arrival.node;
     order.prompt = this->trace.name + " " + std::to_string(this->callers.size());
+    while (order.prompt.size() < static_cast<std::size_t>(arrival.promptTokens) * bytesPerToken)
+        order.prompt += " " + std::to_string(order.prompt.size());
     order.tokens = arrival.tokens;
     order.idleLimit = this->idleLimit;
     this->callers.push_back(std::make_unique<Testkit::StreamCaller>(this->cluster.client(), std::move(order)));
@@ -200,7 +205,7 @@
     if (expectation.name == "asked_again")
         return atMost("times that callers had to ask again", totals.asks - count, json.at("at_most").get<std::int64_t>());
     if (expectation.name == "recomputed_tokens")
-        return atMost("prompt tokens computed again", this->recomputedTokens(), json.at("at_most").get<std::int64_t>());
+        return atMost("prompt and answer tokens computed again", this->recomputedTokens(), json.at("at_most").get<std::int64_t>());
     if (expectation.name == "exits") {
         const auto code = this->process(json.at("process").get<std::string>()).waitForExit(this->trace.limit);
         return { json.at("process").get<std::string>() + " ends by itself", code ? std::to_string(*code) : "still running", code == 0 };
--- a/src/measure/promises/replay.h
+++ b/src/measure/promises/replay.h
@@ -39,6 +39,7 @@
         bool isBooking = false;
         std::size_t node = 0;
         std::int64_t tokens = 0;
+        std::int64_t promptTokens = 0;
     };
 
     auto perform(const TraceStep&) -> void;
--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t streamIdBytes = 16;
 constexpr std::chrono::milliseconds serverWaitPeriod = 50ms; ///< Between two looks for a backend server when there is none.
 constexpr std::chrono::milliseconds serverWaitLimit = 10s; ///< For an answer that has not begun.
+constexpr std::chrono::microseconds silenceReviewPeriod = 250ms; ///< Of an attempt without a token, whose engine others may find silent.
 constexpr std::chrono::milliseconds budgetWaitPeriod = 250ms; ///< For a begun answer when no retry is allowed.
 constexpr int maxFailuresInRow = 16; ///< Of a begun answer without a token between them.
 constexpr std::chrono::milliseconds moveStallLimit = 1s; ///< For the first token of a move, while the old engine still speaks.
@@ -62,8 +63,9 @@
 
 } // namespace
 
-ModelRun::ModelRun(const RequestContext& context, CallerRequest request, std::shared_ptr<HttpExchange> exchange, EndHandler onEnd)
+ModelRun::ModelRun(const RequestContext& context, SilentServers& silentServers, CallerRequest request, std::shared_ptr<HttpExchange> exchange, EndHandler onEnd)
     : context(context)
+    , silentServers(silentServers)
     , request(std::move(request))
     , exchange(std::move(exchange))
     , onEnd(std::move(onEnd))
@@ -140,7 +142,13 @@
         this->failedServers.clear();
         candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, running);
     }
-    return this->context.routing.choose(this->routingRequest(), candidates, EventLoop::now());
+    const auto now = EventLoop::now();
+    auto speaking = candidates;
+    std::erase_if(speaking, [this, now](const BackendServer* server) { return this->silentServers.isSilent(server->id, now); });
+    const auto* server = this->context.routing.choose(this->routingRequest(), speaking.empty() ? candidates : speaking, now);
+    if (server)
+        this->silentServers.tried(server->id, now);
+    return server;
 }
 
 auto ModelRun::startAttempt(const BackendServer& server, const Address& importFrom) -> std::shared_ptr<StreamAttempt>
@@ -191,6 +199,7 @@
 
 auto ModelRun::tokensReady(StreamAttempt& attempt) -> void
 {
+    this->silentServers.spoke(attempt.backendServer().id);
     if (&attempt == this->second.get())
         this->promoteSecond(this->secondReason == SecondReason::Silence ? AttemptEnd::Stalled : AttemptEnd::Cancelled);
     else if (this->second && this->secondReason == SecondReason::Silence)
@@ -309,8 +318,14 @@
         this->silenceTimer.stop();
         return;
     }
-    const auto& speaking = this->second ? *this->second : *this->first;
-    this->silenceTimer.start(speaking.pace().silenceLimit());
+    const auto& awaited = this->second ? *this->second : *this->first;
+    const auto limit = awaited.pace().silenceLimit();
+    this->silenceTimer.start(awaited.hasBegun() ? limit : std::min(limit, silenceReviewPeriod));
+}
+
+auto ModelRun::isSilent(const StreamAttempt& attempt) const -> bool
+{
+    return attempt.pace().isSilent(EventLoop::now()) || this->silentServers.isFoundSilentAfter(attempt.backendServer().id, attempt.started());
 }
 
 auto ModelRun::fellSilent() -> void
@@ -319,6 +334,11 @@
         return;
     if (this->second && this->secondReason == SecondReason::Reclaim)
         return this->watchSilence();
+    const auto& awaited = this->second ? *this->second : *this->first;
+    if (!this->isSilent(awaited))
+        return this->watchSilence();
+    if (awaited.pace().isSilent(EventLoop::now()))
+        this->silentServers.fellSilent(awaited.backendServer().id, EventLoop::now());
     if (!this->context.retries.retryDelay(this->failuresInRow + 1, EventLoop::now()))
         return this->watchSilence();
     if (this->second)
@@ -368,6 +388,7 @@
             return;
         this->context.metrics.count("moves_abandoned_total");
         ++this->abandonedMoves;
+        this->failedServers.insert(this->second->backendServer().id);
         this->dropSecond();
         this->deliverReady();
         return this->moveTimer.start(moveRetryPeriod);
--- a/src/node/modelrun.h
+++ b/src/node/modelrun.h
@@ -5,6 +5,7 @@
 #include "requestcontext.h"
 #include "requestrun.h"
 #include "routingpolicy.h"
+#include "silentservers.h"
 #include "streamattempt.h"
 #include "streammovepolicy.h"
 
@@ -28,7 +29,7 @@
  */
 class ModelRun : public RequestRun {
 public:
-    ModelRun(const RequestContext&, CallerRequest, std::shared_ptr<HttpExchange>, EndHandler);
+    ModelRun(const RequestContext&, SilentServers&, CallerRequest, std::shared_ptr<HttpExchange>, EndHandler);
     ~ModelRun() override;
 
     auto begin() -> void override;
@@ -48,6 +49,7 @@
     auto startSecond(SecondReason) -> bool;
     [[nodiscard]] auto startAttempt(const BackendServer&, const Address& importFrom) -> std::shared_ptr<StreamAttempt>;
     [[nodiscard]] auto chooseServer() -> const BackendServer*;
+    [[nodiscard]] auto isSilent(const StreamAttempt&) const -> bool;
     auto waitForServer() -> void;
     auto tokensReady(StreamAttempt&) -> void;
     auto attemptEnded(StreamAttempt&, std::error_code) -> void;
@@ -74,6 +76,7 @@
     [[nodiscard]] auto routingRequest() const -> RoutingRequest;
 
     RequestContext context;
+    SilentServers& silentServers;
     CallerRequest request;
     std::shared_ptr<HttpExchange> exchange;
     EndHandler onEnd;
--- a/src/node/requestcontroller.cpp
+++ b/src/node/requestcontroller.cpp
@@ -94,7 +94,7 @@
     auto onEnd = [this, id](std::int64_t tokens) { this->runEnded(id, tokens); };
     std::unique_ptr<RequestRun> run;
     if (entry.request.route.kind == RouteKind::Model)
-        run = std::make_unique<ModelRun>(this->context, std::move(entry.request), entry.exchange, std::move(onEnd));
+        run = std::make_unique<ModelRun>(this->context, this->silentServers, std::move(entry.request), entry.exchange, std::move(onEnd));
     else
         run = std::make_unique<PlainRun>(this->context, std::move(entry.request), entry.exchange, std::move(onEnd));
     auto& started = *run;
--- a/src/node/requestcontroller.h
+++ b/src/node/requestcontroller.h
@@ -5,6 +5,7 @@
 #include "eventloop.h"
 #include "requestcontext.h"
 #include "requestrun.h"
+#include "silentservers.h"
 #include "statesource.h"
 
 #include <cstdint>
@@ -53,6 +54,7 @@
 
     RequestContext context;
     AdmissionPolicy& admission;
+    SilentServers silentServers;
     Timer admissionTimer;
     std::uint64_t nextId = 1;
     std::map<std::uint64_t, WaitingRequest> waiting;
--- a/src/node/streamattempt.cpp
+++ b/src/node/streamattempt.cpp
@@ -25,7 +25,8 @@
     : context(context)
     , routingRequest(routingRequest)
     , server(std::move(server))
-    , streamPace(EventLoop::now(), routingRequest.promptTokens)
+    , startTime(EventLoop::now())
+    , streamPace(this->startTime, routingRequest.promptTokens)
 {
 }
 
@@ -39,7 +40,7 @@
     this->isRepeated = repeated;
     this->handlers = std::move(attemptHandlers);
     this->assembler = std::make_unique<StreamAssembler>(request.offset);
-    this->streamPace = StreamPace(EventLoop::now(), estimateTokens(request.prompt) + estimateTokens(request.delivered));
+    this->streamPace = StreamPace(this->startTime, estimateTokens(request.prompt) + estimateTokens(request.delivered));
     this->context.metrics.count("attempts_total{kind=\"model\"}");
     this->context.routing.requestSent(this->routingRequest, this->server, EventLoop::now());
 
--- a/src/node/streamattempt.h
+++ b/src/node/streamattempt.h
@@ -40,6 +40,7 @@
     auto resume() -> void;
 
     [[nodiscard]] auto backendServer() const -> const BackendServer& { return this->server; }
+    [[nodiscard]] auto started() const -> std::chrono::steady_clock::time_point { return this->startTime; }
     [[nodiscard]] auto pace() const -> const StreamPace& { return this->streamPace; }
     [[nodiscard]] auto isPaused() const -> bool { return this->hasPaused; }
     [[nodiscard]] auto isReady() const -> bool { return this->assembler && this->assembler->isReady(); }
@@ -58,6 +59,7 @@
     RequestContext context;
     RoutingRequest routingRequest;
     BackendServer server;
+    std::chrono::steady_clock::time_point startTime;
     StreamPace streamPace;
     std::unique_ptr<StreamAssembler> assembler;
     StreamAttemptHandlers handlers;
--- a/tests/streams/test_streampolicies.cpp
+++ b/tests/streams/test_streampolicies.cpp
@@ -1,4 +1,5 @@
 #include "errors.h"
+#include "silentservers.h"
 #include "streamassembler.h"
 #include "streammovepolicy.h"
 #include "streampace.h"
@@ -123,6 +124,66 @@
     }
 }
 
+enum class Happening {
+    FellSilent,
+    Tried,
+    Spoke,
+};
+
+struct SilenceStep {
+    Happening happening;
+    std::chrono::milliseconds at;
+};
+
+struct SilenceCase {
+    std::string name;
+    std::vector<SilenceStep> steps;
+    std::chrono::milliseconds now;
+    bool isSilent;
+};
+
+const SilenceCase silenceCases[] = {
+    { "nothing happened", {}, 0ms, false },
+    { "tried without having been silent", { { Happening::Tried, 0ms } }, 0ms, false },
+    { "fell silent", { { Happening::FellSilent, 0ms } }, 1999ms, true },
+    { "may be tried again", { { Happening::FellSilent, 0ms } }, 2s, false },
+    { "another one tries it", { { Happening::FellSilent, 0ms }, { Happening::Tried, 2s } }, 3s, true },
+    { "spoke again", { { Happening::FellSilent, 0ms }, { Happening::Spoke, 1s } }, 1s, false },
+    { "tried after it spoke", { { Happening::FellSilent, 0ms }, { Happening::Spoke, 1s }, { Happening::Tried, 1s } }, 1s, false },
+};
+
+TEST_CASE("streams keep away from a silent server for a while")
+{
+    for (const auto& row : silenceCases) {
+        CAPTURE(row.name);
+        const TimePoint start { 1h };
+        SilentServers servers;
+        for (const auto& step : row.steps) {
+            if (step.happening == Happening::FellSilent)
+                servers.fellSilent("engine-0", start + step.at);
+            else if (step.happening == Happening::Tried)
+                servers.tried("engine-0", start + step.at);
+            else
+                servers.spoke("engine-0");
+        }
+        CHECK(servers.isSilent("engine-0", start + row.now) == row.isSilent);
+        CHECK_FALSE(servers.isSilent("engine-1", start + row.now));
+    }
+}
+
+TEST_CASE("a stream learns from others that its server is silent")
+{
+    const TimePoint start { 1h };
+    SilentServers servers;
+    CHECK_FALSE(servers.isFoundSilentAfter("engine-0", start));
+    servers.fellSilent("engine-0", start + 1s);
+    CHECK(servers.isFoundSilentAfter("engine-0", start));
+    servers.tried("engine-0", start + 4s);
+    CHECK_FALSE(servers.isFoundSilentAfter("engine-0", start + 4s));
+    servers.spoke("engine-0");
+    CHECK_FALSE(servers.isFoundSilentAfter("engine-0", start));
+}
+
 struct AssemblerCase {
     std::string name;
     std::int64_t first;
