--- /dev/null
+++ b/tests/streams/streamtest.cpp
@@ -0,0 +1,73 @@
+#include "streamtest.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork::StreamTest {
+
+namespace {
+
+using Json = nlohmann::json;
+
+} // namespace
+
+auto addCaller(Callers& callers, Testkit::Cluster& cluster, const std::vector<std::size_t>& nodes, std::int64_t tokens) -> void
+{
+    Testkit::StreamOrder order;
+    for (const auto node : nodes)
+        order.nodes.push_back(cluster.callers(node));
+    order.prompt = "stream " + std::to_string(callers.size()) + " of a salon's schedule";
+    order.tokens = tokens;
+    order.firstNode = callers.size();
+    callers.push_back(std::make_unique<Testkit::StreamCaller>(cluster.client(), std::move(order)));
+    callers.back()->begin();
+}
+
+auto haveAllBegun(const Callers& callers) -> bool
+{
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->record().received > 0; });
+}
+
+auto areAllWhole(const Callers& callers) -> bool
+{
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->record().isWhole; });
+}
+
+auto runningOn(Testkit::Cluster& cluster, std::size_t engine) -> std::int64_t
+{
+    return cluster.control(cluster.engine(engine), Json::object()).value("running", std::int64_t { -1 });
+}
+
+auto startedOn(Testkit::Cluster& cluster, std::size_t engine) -> std::int64_t
+{
+    return cluster.control(cluster.engine(engine), Json::object()).value("started_streams", std::int64_t { -1 });
+}
+
+auto metric(Testkit::Cluster& cluster, const std::string& name) -> double
+{
+    return Testkit::readMetric(cluster.client(), cluster.operators(0), name);
+}
+
+auto notice(Testkit::Cluster& cluster, const Json& instances, std::chrono::milliseconds remaining) -> void
+{
+    cluster.control(cluster.cloudApi(), { { "reclaim", instances }, { "remaining_ms", remaining.count() } });
+}
+
+auto checkRight(const Callers& callers) -> void
+{
+    const auto totals = Testkit::totalsOf(callers);
+    CHECK(totals.whole == static_cast<std::int64_t>(callers.size()));
+    CHECK(totals.wrongTokens == 0);
+    CHECK(totals.gaps == 0);
+    CHECK(totals.repeats == 0);
+}
+
+auto runFor(Testkit::Cluster& cluster, std::chrono::milliseconds time) -> void
+{
+    const auto end = EventLoop::now() + time;
+    cluster.client().waitUntil([end] { return EventLoop::now() >= end; }, time + 1s);
+}
+
+} // namespace Primrosefork::StreamTest
