Load: Asked only the engines of the node's subset for their load

Every node asked every engine twice a second: a million calls a second at 340 nodes and 1,500 engines. It now asks those of its subset, and a wider one while most of them do not answer or have a queue. The section backendSubset shows the choice; routing does not use it yet.

--- a/src/libprimrosefork/backendsubset.cpp
+++ b/src/libprimrosefork/backendsubset.cpp
@@ -11,16 +11,17 @@
 
 namespace {
 
-/** A node with the hash of its id. */
+/** A node with the hashes of its id and its zone, which are cheaper to compare. */
 struct HashedNode {
     const SubsetNode* node = nullptr;
     std::uint64_t hash = 0;
+    std::uint64_t zone = 0;
 };
 
 /** The servers of one pool in one region, and how many there are in each zone. */
 struct Group {
     std::vector<const BackendServer*> servers;
-    std::map<std::string, std::size_t> serversInZone;
+    std::map<std::uint64_t, std::size_t> serversInZone; ///< By the hash of the zone.
 };
 
 /** Pool and region. */
@@ -41,7 +42,7 @@
     for (const auto& [id, server] : servers) {
         auto& group = groups[{ server.pool, server.region }];
         group.servers.push_back(&server);
-        ++group.serversInZone[server.zone];
+        ++group.serversInZone[hash64(server.zone)];
     }
     return groups;
 }
@@ -60,54 +61,64 @@
     std::size_t local = 0;
 };
 
-/** The choice of one server among the nodes. */
-class ServerChoice {
-public:
-    ServerChoice(const BackendServer& server, const std::vector<HashedNode>& nodes, const std::string& self)
-        : server(server)
-        , nodes(nodes)
-        , serverHash(hash64(server.id))
-    {
-        const auto found = std::find_if(nodes.begin(), nodes.end(), [&self](const HashedNode& hashed) { return hashed.node->id == self; });
-        this->own = found == nodes.end() ? nullptr : &*found;
-    }
-
-    [[nodiscard]] auto takesSelf(const FanIn& fanIn) const -> bool
-    {
-        if (!this->own)
-            return false;
-        const auto ownScore = this->score(*this->own);
-        const auto isLocal = this->own->node->zone == this->server.zone;
-        std::size_t localAhead = 0;
-        std::size_t localNodes = 0;
-        std::size_t ahead = 0;
-        for (const auto& hashed : this->nodes) {
-            const auto isHigher = this->score(hashed) > ownScore;
-            const auto isOfZone = hashed.node->zone == this->server.zone;
-            ahead += isHigher ? 1 : 0;
-            localNodes += isOfZone ? 1 : 0;
-            localAhead += isHigher && isOfZone ? 1 : 0;
-        }
-        if (isLocal && localAhead < fanIn.local)
-            return true;
-        // The places that the zone does not fill go to the highest of the others, of the zone too.
-        const auto taken = std::min(fanIn.local, localNodes);
-        const auto takenAhead = std::min(fanIn.local, localAhead);
-        return ahead - takenAhead < fanIn.all - taken;
+/** Returns whether \a server, with the hash of its zone, takes the node \a own among \a nodes. */
+auto takesNode(const BackendServer& server, std::uint64_t zone, const HashedNode& own, const std::vector<HashedNode>& nodes, const FanIn& fanIn) -> bool
+{
+    const auto serverHash = hash64(server.id);
+    const auto ownScore = mix(serverHash, own.hash);
+    std::size_t ahead = 0;
+    std::size_t localAhead = 0;
+    std::size_t localNodes = 0;
+    for (const auto& node : nodes) {
+        const std::size_t isHigher = mix(serverHash, node.hash) > ownScore ? 1 : 0;
+        const std::size_t isLocal = node.zone == zone ? 1 : 0;
+        ahead += isHigher;
+        localNodes += isLocal;
+        localAhead += isHigher & isLocal;
     }
+    if (own.zone == zone && localAhead < fanIn.local)
+        return true;
+    // The other places go to those that rank highest among the rest, of the zone too.
+    const auto taken = std::min(fanIn.local, localNodes);
+    const auto takenAhead = std::min(fanIn.local, localAhead);
+    return ahead - takenAhead < fanIn.all - taken;
+}
 
-private:
-    [[nodiscard]] auto score(const HashedNode& hashed) const -> std::uint64_t { return mix(this->serverHash, hashed.hash); }
+auto divideRoundingUp(std::size_t dividend, std::size_t divisor) -> std::size_t
+{
+    return (dividend + divisor - 1) / divisor;
+}
 
-    const BackendServer& server;
-    const std::vector<HashedNode>& nodes;
-    std::uint64_t serverHash;
-    const HashedNode* own = nullptr;
+/** The node that chooses, and among which nodes. */
+struct Chooser {
+    std::vector<HashedNode> nodes;
+    const std::string& self;
+    const SubsetOptions& options;
+    unsigned widening = 0;
 };
 
-auto divideRoundingUp(std::size_t dividend, std::size_t divisor) -> std::size_t
+auto fanInOf(const Group& group, const Chooser& chooser, std::uint64_t zone, std::size_t nodesInZone) -> FanIn
 {
-    return (dividend + divisor - 1) / divisor;
+    const auto wanted = divideRoundingUp(chooser.options.serversPerNode * chooser.nodes.size(), group.servers.size());
+    const auto all = std::min(std::max(wanted, chooser.options.fewestNodesPerServer) << chooser.widening, chooser.nodes.size());
+    // A zone with few nodes and many servers would load its nodes more than others.
+    const auto localLimit = chooser.options.serversPerNode / 2 * nodesInZone / group.serversInZone.at(zone);
+    return { all, std::min(all / 2, localLimit << chooser.widening) };
+}
+
+auto selectFrom(const Group& group, const Chooser& chooser, BackendSubsetIds& chosen) -> void
+{
+    const auto own = std::find_if(chooser.nodes.begin(), chooser.nodes.end(), [&chooser](const HashedNode& node) { return node.node->id == chooser.self; });
+    if (own == chooser.nodes.end())
+        return;
+    std::map<std::uint64_t, std::size_t> nodesInZone;
+    for (const auto& node : chooser.nodes)
+        ++nodesInZone[node.zone];
+    for (const auto* server : group.servers) {
+        const auto zone = hash64(server->zone);
+        if (takesNode(*server, zone, *own, chooser.nodes, fanInOf(group, chooser, zone, nodesInZone[zone])))
+            chosen.insert(server->id);
+    }
 }
 
 } // namespace
@@ -123,23 +134,11 @@
     std::vector<HashedNode> hashed;
     hashed.reserve(nodes.size());
     for (const auto& node : nodes)
-        hashed.push_back({ &node, hash64(node.id) });
+        hashed.push_back({ &node, hash64(node.id), hash64(node.zone) });
 
     BackendSubsetIds chosen;
-    for (const auto& [key, group] : groupServers(servers)) {
-        const auto candidates = nodesFor(hashed, key.second);
-        const auto wanted = divideRoundingUp(this->options.serversPerNode * candidates.size(), group.servers.size());
-        const auto all = std::min(std::max(wanted, this->options.fewestNodesPerServer) << widening, candidates.size());
-        for (const auto* server : group.servers) {
-            const auto inZone = static_cast<std::size_t>(std::count_if(
-                candidates.begin(), candidates.end(), [server](const HashedNode& candidate) { return candidate.node->zone == server->zone; }));
-            // A zone with few nodes and many servers would load its nodes more than others.
-            const auto localLimit = this->options.serversPerNode / 2 * inZone / group.serversInZone.at(server->zone);
-            const FanIn fanIn { all, std::min(all / 2, localLimit << widening) };
-            if (ServerChoice(*server, candidates, self).takesSelf(fanIn))
-                chosen.insert(server->id);
-        }
-    }
+    for (const auto& [key, group] : groupServers(servers))
+        selectFrom(group, { nodesFor(hashed, key.second), self, this->options, widening }, chosen);
     return chosen;
 }
 
--- a/src/libprimrosefork/backendsubset.h
+++ b/src/libprimrosefork/backendsubset.h
@@ -14,6 +14,8 @@
     std::string id;
     std::string zone;
     std::string region;
+
+    auto operator==(const SubsetNode&) const -> bool = default;
 };
 
 /** How large subsets are. */
--- a/src/libprimrosefork/blackboard.cpp
+++ b/src/libprimrosefork/blackboard.cpp
@@ -15,7 +15,7 @@
 auto Blackboard::owners() const -> std::vector<SectionOwner>
 {
     return { ownerOf(this->lifecycle), ownerOf(this->configuration), ownerOf(this->backendServers),
-        ownerOf(this->loadReports), ownerOf(this->reclaimNotices), ownerOf(this->peers), ownerOf(this->peerNotices) };
+        ownerOf(this->loadReports), ownerOf(this->reclaimNotices), ownerOf(this->backendSubset), ownerOf(this->peers), ownerOf(this->peerNotices) };
 }
 
 } // namespace Primrosefork
--- a/src/libprimrosefork/blackboard.h
+++ b/src/libprimrosefork/blackboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendserver.h"
+#include "backendsubset.h"
 #include "configuration.h"
 #include "lifecycle.h"
 #include "membership.h"
@@ -30,6 +31,7 @@
     Section<BackendServers> backendServers { "backendServers" };
     Section<LoadReports> loadReports { "loadReports" };
     Section<ReclaimNotices> reclaimNotices { "reclaimNotices" };
+    Section<BackendSubsetIds> backendSubset { "backendSubset" }; ///< The engines that this node works with.
     Section<Peers> peers { "peers" };
     Section<ReclaimNotices> peerNotices { "peerNotices" }; ///< Those that peers told of.
 
--- a/src/measure/capacity/main.cpp
+++ b/src/measure/capacity/main.cpp
@@ -2,6 +2,7 @@
 #include "linearfit.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -94,16 +95,21 @@
     return result;
 }
 
-auto printFit(const char* name, const std::vector<FleetResult>& results, double designSize, const std::function<double(const FleetResult&)>& value) -> void
+using Value = std::function<double(const FleetResult&)>;
+using Scale = double (*)(double size);
+
+/** Fits \a value over the sizes as \a scale shows them. */
+auto printFit(
+    const char* name, const std::vector<FleetResult>& results, double designSize, const Value& value, Scale scale = [](double size) { return size; }) -> void
 {
     constexpr std::size_t fewestPoints = 3;
     std::vector<Point> points;
     for (const auto& result : results)
-        points.push_back({ result.size, value(result) });
+        points.push_back({ scale(result.size), value(result) });
     if (points.size() < fewestPoints)
         return;
     const auto fit = fitLine(points);
-    std::printf("%-34s %12.5f +- %-10.5f %10.3f +- %-8.3f %10.2f\n", name, fit.slope, fit.slopeError, fit.intercept, fit.interceptError, fit.at(designSize));
+    std::printf("%-34s %12.5f +- %-10.5f %10.3f +- %-8.3f %10.2f\n", name, fit.slope, fit.slopeError, fit.intercept, fit.interceptError, fit.at(scale(designSize)));
 }
 
 auto printFits(const std::vector<FleetResult>& results, double designSize) -> void
@@ -113,6 +119,8 @@
     printFit("idle: MiB", results, designSize, [](const FleetResult& result) { return result.idle.megabytes; });
     printFit("idle: sent B/s", results, designSize, [](const FleetResult& result) { return result.idle.sentBytes; });
     printFit("idle: sent + received B/s", results, designSize, [](const FleetResult& result) { return result.idle.sentBytes + result.idle.receivedBytes; });
+    printFit(
+        "idle: sent + received B/s, by log2", results, designSize, [](const FleetResult& result) { return result.idle.sentBytes + result.idle.receivedBytes; }, std::log2);
     printFit("idle: store watches/s, fleet", results, designSize, [](const FleetResult& result) { return result.idle.storeWatches; });
     printFit("changing: core %", results, designSize, [](const FleetResult& result) { return result.changing.processorShare; });
     printFit("changing: sent + received B/s", results, designSize, [](const FleetResult& result) { return result.changing.sentBytes + result.changing.receivedBytes; });
--- a/src/node/loadcontroller.cpp
+++ b/src/node/loadcontroller.cpp
@@ -1,32 +1,96 @@
 #include "loadcontroller.h"
 
+#include "nodesettings.h"
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 namespace Primrosefork {
 
-LoadController::LoadController(EventLoop& loop, Engines& engines, Blackboard& blackboard, std::chrono::milliseconds period)
+namespace {
+
+constexpr auto controllerName = "LoadController";
+constexpr unsigned widestStep = 3;
+constexpr int roundsBeforeNarrowing = 60;
+
+} // namespace
+
+LoadController::LoadController(EventLoop& loop, Engines& engines, Blackboard& blackboard, const NodeSettings& settings)
     : engines(engines)
     , blackboard(blackboard)
-    , reports(blackboard.loadReports.acquireWriter("LoadController"))
-    , period(period)
+    , reports(blackboard.loadReports.acquireWriter(controllerName))
+    , subset(blackboard.backendSubset.acquireWriter(controllerName))
+    , settings(settings)
     , timer(loop, [this] { this->poll(); })
 {
+    blackboard.backendServers.changed.connect([this](const BackendServers&) { this->isSubsetDue = true; });
+    blackboard.peers.changed.connect([this](const Peers&) { this->peersChanged(); });
 }
 
 auto LoadController::begin() -> void
 {
-    this->timer.startRepeating(this->period);
+    this->timer.startRepeating(this->settings.timeouts.loadPoll);
 }
 
 auto LoadController::poll() -> void
 {
+    this->adjustWidening();
     this->reports.write(std::exchange(this->collected, {}));
+    if (this->isSubsetDue)
+        this->updateSubset();
+    for (const auto& id : this->subset.value()) {
+        const auto& address = this->engineServers.at(id).address;
+        this->engines.fetchLoad(address, [this, id](std::error_code error, const LoadReport& report) { this->received(id, error, report); });
+    }
+}
+
+/** Widens a subset that is lost or overloaded, and narrows it again when that is long over. */
+auto LoadController::adjustWidening() -> void
+{
+    const auto isUsable = [](const auto& entry) { return entry.second.waiting <= entry.second.running; };
+    const auto usable = static_cast<std::size_t>(std::count_if(this->collected.begin(), this->collected.end(), isUsable));
+    const auto isAtEase = usable * 2 >= this->subset.value().size();
+    this->roundsAtEase = isAtEase ? this->roundsAtEase + 1 : 0;
+    const auto isWhole = this->subset.value().size() == this->engineServers.size();
+    if (!isAtEase && !isWhole && this->widening < widestStep)
+        ++this->widening;
+    else if (this->roundsAtEase >= roundsBeforeNarrowing && this->widening > 0)
+        --this->widening;
+    else
+        return;
+    this->roundsAtEase = 0;
+    this->isSubsetDue = true;
+}
+
+auto LoadController::updateSubset() -> void
+{
+    this->isSubsetDue = false;
+    this->engineServers.clear();
     for (const auto& [id, server] : this->blackboard.backendServers.value()) {
-        if (server.kind != BackendKind::Engine)
-            continue;
-        this->engines.fetchLoad(server.address, [this, id = id](std::error_code error, const LoadReport& report) { this->received(id, error, report); });
+        if (server.kind == BackendKind::Engine)
+            this->engineServers[id] = server;
+    }
+    this->nodes = this->liveNodes();
+    auto next = this->chooser.select(this->settings.id, this->nodes, this->engineServers, this->widening);
+    if (next != this->subset.value())
+        this->subset.write(std::move(next));
+}
+
+auto LoadController::peersChanged() -> void
+{
+    if (this->liveNodes() != this->nodes)
+        this->isSubsetDue = true;
+}
+
+auto LoadController::liveNodes() const -> std::vector<SubsetNode>
+{
+    std::vector<SubsetNode> live { { this->settings.id, this->settings.zone, this->settings.region } };
+    for (const auto& [id, peer] : this->blackboard.peers.value()) {
+        if (peer.state == PeerState::Alive || peer.state == PeerState::Suspect)
+            live.push_back({ id, peer.zone, peer.region });
     }
+    return live;
 }
 
 auto LoadController::received(const std::string& id, std::error_code error, LoadReport report) -> void
--- a/tests/peer/test_peernodes.cpp
+++ b/tests/peer/test_peernodes.cpp
@@ -4,6 +4,8 @@
 #include <arpa/inet.h>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <set>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -116,6 +118,36 @@
     CHECK(client.waitUntil([&] { return isConfirmed(cluster, 0, revision + 1); }, 6s));
 }
 
+auto reportedEngines(Testkit::Cluster& cluster, std::size_t index) -> std::set<std::string>
+{
+    const auto state = stateOf(cluster, index);
+    std::set<std::string> engines;
+    if (!state.contains("load_reports"))
+        return engines;
+    for (const auto& [id, report] : state["load_reports"].items())
+        engines.insert(id);
+    return engines;
+}
+
+TEST_CASE("each node asks its part of many engines, and together they ask all")
+{
+    constexpr std::size_t nodes = 5;
+    constexpr std::size_t engines = 100;
+    Testkit::Cluster cluster({ .nodes = nodes, .engines = engines, .hasPeers = true });
+    REQUIRE(cluster.start());
+    const auto isDivided = [&] {
+        std::set<std::string> all;
+        for (std::size_t index = 0; index < nodes; ++index) {
+            const auto part = reportedEngines(cluster, index);
+            if (part.size() < 30 || part.size() > 90)
+                return false;
+            all.insert(part.begin(), part.end());
+        }
+        return all.size() == engines;
+    };
+    CHECK(cluster.client().waitUntil(isDivided, 10s));
+}
+
 TEST_CASE("a datagram from a stranger changes nothing and is counted")
 {
     Testkit::Cluster cluster({ .nodes = 2, .hasPeers = true });
