Configuration: Kept a template out of force that a service in force cannot follow

Two changes at the same moment, one of a template and one of a service made from it, are each valid against what was there before and may clash together; a service without models on a template with model routes would have been routed with an empty list of models. Lost records are now written back one after the other without a random wait between them.

--- a/src/libprimrosefork/configurationchange.cpp
+++ b/src/libprimrosefork/configurationchange.cpp
@@ -21,23 +21,6 @@
     return base == revisionInForce(record) || (record && base == record->current.revision);
 }
 
-/** The services made from a template must stay valid against its new content. */
-auto checkServicesOfTemplate(const Configuration& next, const std::string& key, Findings& findings) -> void
-{
-    for (const auto& [serviceKey, service] : next.services) {
-        if (ConfigurationKeys::serviceTemplate(service.templateName) != key)
-            continue;
-        const auto stored = next.records.find(ConfigurationKeys::service(serviceKey.first, serviceKey.second));
-        const auto record = stored == next.records.end() ? std::nullopt : parseRecord(*stored->second);
-        if (!record)
-            continue;
-        Findings own;
-        static_cast<void>(parseServiceParameters(record->current.content, next.templates.at(service.templateName), own));
-        for (const auto& finding : own)
-            findings.push_back({ "/services/" + serviceKey.first + "/" + serviceKey.second + finding.place, finding.message });
-    }
-}
-
 auto checkWorkspaceOfService(const Configuration& next, const std::string& key, Findings& findings) -> void
 {
     for (const auto& [serviceKey, service] : next.services) {
@@ -74,7 +57,6 @@
     applyVersion(next, key, version, findings);
     if (!findings.empty())
         return;
-    checkServicesOfTemplate(next, key, findings);
     checkWorkspaceOfService(next, key, findings);
     checkKeyOfWorkspace(next, key, findings);
     checkServicesOfWorkspace(next, key, findings);
--- a/src/libprimrosefork/configurationrecord.cpp
+++ b/src/libprimrosefork/configurationrecord.cpp
@@ -35,10 +35,28 @@
         [&name](const auto& service) { return service.second.templateName == name; });
 }
 
+/** Adds to \a findings what is wrong with the services in force against the new content of their template. */
+auto checkServices(const Configuration& configuration, const ServiceTemplate& serviceTemplate, Findings& findings) -> void
+{
+    for (const auto& [key, service] : configuration.services) {
+        if (service.templateName != serviceTemplate.name)
+            continue;
+        const auto stored = configuration.records.find(ConfigurationKeys::service(key.first, key.second));
+        const auto record = stored == configuration.records.end() ? std::nullopt : parseRecord(*stored->second);
+        Findings own;
+        if (record)
+            static_cast<void>(parseServiceParameters(record->current.content, serviceTemplate, own));
+        for (const auto& finding : own)
+            findings.push_back({ "/services/" + key.first + "/" + key.second + finding.place, finding.message });
+    }
+}
+
 auto applyTemplate(Configuration& configuration, const std::string& name, const RecordVersion& version, Findings& findings) -> void
 {
     if (!version.isDeleted) {
         auto serviceTemplate = parseServiceTemplate(version.content, name, findings);
+        if (findings.empty())
+            checkServices(configuration, serviceTemplate, findings);
         if (findings.empty())
             configuration.templates[name] = std::move(serviceTemplate);
         return;
--- a/src/libprimrosefork/configurationrecord.h
+++ b/src/libprimrosefork/configurationrecord.h
@@ -66,8 +66,8 @@
  * A record with a lower revision than the one in force changes nothing. A
  * deletion is a record with "deleted": true, so that a record missing from the
  * store takes nothing out of force. Returns false and adds to \a findings when
- * the record is not valid. Templates must be applied before the services made
- * from them.
+ * the record is not valid, or a template clashes with a service in force that is
+ * made from it. Templates must be applied before the services made from them.
  */
 auto applyRecord(Configuration& configuration, const std::string& key, std::string_view value, Findings& findings) -> bool;
 
--- a/src/node/configurationrestorer.cpp
+++ b/src/node/configurationrestorer.cpp
@@ -5,10 +5,14 @@
 
 #include <random>
 
+using namespace std::chrono_literals;
+
 namespace Primrosefork {
 
 namespace {
 
+constexpr auto nextDelay = 20ms; ///< Between two records, when several were lost.
+
 auto randomDelay(std::chrono::milliseconds longest) -> std::chrono::milliseconds
 {
     static std::minstd_rand generator(std::random_device {}());
@@ -44,6 +48,12 @@
     this->timer.start(randomDelay(this->longestDelay));
 }
 
+auto ConfigurationRestorer::failed(const std::string& key) -> void
+{
+    this->lost.insert(key);
+    this->startTimer();
+}
+
 auto ConfigurationRestorer::restoreNext() -> void
 {
     if (this->lost.empty())
@@ -55,17 +65,17 @@
 
 auto ConfigurationRestorer::entryRead(const std::string& key, std::error_code error, const std::optional<StoreEntry>& entry) -> void
 {
-    if (!this->lost.empty())
-        this->startTimer();
     if (error)
-        return this->recordLost(key);
+        return this->failed(key);
+    if (!this->lost.empty())
+        this->timer.start(nextDelay);
     const auto& configuration = this->blackboard.configuration.value();
     if (entry && !isOlderRecord(configuration, key, entry->value))
         return;
     const StoreSwap swap { key, entry ? entry->revision : 0, *configuration.records.at(key), 0 };
     this->store.compareAndSwap(swap, [this, key](std::error_code swapError, const StoreSwapResult& result) {
         if (swapError)
-            return this->recordLost(key);
+            return this->failed(key);
         if (result.isSwapped)
             this->log.write(Event::ConfigurationRestored, { { "key", key }, { "revision", std::to_string(this->blackboard.configuration.value().revisionOf(key)) } });
     });
--- a/src/node/configurationrestorer.h
+++ b/src/node/configurationrestorer.h
@@ -18,8 +18,8 @@
  * Writes records in force back to a store that lost them or went back to older
  * ones, so that a node that starts later gets what was accepted.
  *
- * Every node notices at about the same time. Each waits a random time, and
- * gives a record up once another node has restored it. A store that only
+ * Every node notices at about the same time. Each waits a random time before its
+ * first record, and gives a record up once another node has restored it. A store that only
  * answered late loses nothing: the swap against its older answer fails.
  */
 class ConfigurationRestorer {
@@ -36,6 +36,7 @@
 
 private:
     auto startTimer() -> void;
+    auto failed(const std::string& key) -> void;
     auto restoreNext() -> void;
     auto entryRead(const std::string& key, std::error_code, const std::optional<StoreEntry>&) -> void;
 
--- a/tests/configuration/test_configurationchange.cpp
+++ b/tests/configuration/test_configurationchange.cpp
@@ -185,6 +185,18 @@
     }
 }
 
+TEST_CASE("a template that a service in force cannot follow is not put in force")
+{
+    auto configuration = baseConfiguration();
+    Findings findings;
+
+    CHECK_FALSE(applyRecord(configuration, "config/templates/bookings", formatRecord(record(2, modelRoute.dump().c_str())), findings));
+
+    CHECK(findings == Findings { { "/services/jadeleaf/desk/models", "the template has model routes: at least one model is needed" } });
+    CHECK(configuration.revisionOf("config/templates/bookings") == 1);
+    CHECK(configuration.templates.at("bookings").route("confirm") != nullptr);
+}
+
 TEST_CASE("a deletion is a record of its own")
 {
     auto configuration = baseConfiguration();
