Configuration: Undid one of two changes that clash with each other

A template and a service made from it are two records, and the store swaps one key at a time. Everything is listed again after the write; of two that clash at least one sees the other, and is undone as a new revision.

--- a/src/cli/backendcommands.cpp
+++ b/src/cli/backendcommands.cpp
@@ -34,8 +34,8 @@
 /** Returns the services in which the drain of \a server is to be begun or ended. */
 auto servicesToChange(const Json& server, bool isDrained) -> std::vector<std::string>
 {
-    const auto used = server.value("used_by", std::vector<std::string> {});
-    const auto drained = server.value("drained_by", std::vector<std::string> {});
+    auto used = server.value("used_by", std::vector<std::string> {});
+    auto drained = server.value("drained_by", std::vector<std::string> {});
     if (!isDrained)
         return drained;
     std::vector<std::string> services;
--- a/src/libprimrosefork/configurationchange.cpp
+++ b/src/libprimrosefork/configurationchange.cpp
@@ -57,9 +57,7 @@
     applyVersion(next, key, version, findings);
     if (!findings.empty())
         return;
-    checkWorkspaceOfService(next, key, findings);
-    checkKeyOfWorkspace(next, key, findings);
-    checkServicesOfWorkspace(next, key, findings);
+    checkReferences(next, key, findings);
 }
 
 auto makeRecord(const std::optional<ConfigurationRecord>& record, const RecordVersion& version) -> ConfigurationRecord
@@ -84,6 +82,24 @@
 
 } // namespace
 
+auto checkReferences(const Configuration& configuration, const std::string& key, Findings& findings) -> void
+{
+    checkWorkspaceOfService(configuration, key, findings);
+    checkKeyOfWorkspace(configuration, key, findings);
+    checkServicesOfWorkspace(configuration, key, findings);
+}
+
+auto undoLastVersion(const ConfigurationRecord& record, const std::string& writeId) -> ConfigurationRecord
+{
+    ConfigurationRecord undone { record.history.empty() ? record.current : record.history.front(), record.history };
+    undone.current.isDeleted = record.history.empty() || undone.current.isDeleted;
+    undone.current.revision = record.current.revision + 1;
+    undone.current.writeId = writeId;
+    undone.current.author = record.current.author;
+    undone.current.time = record.current.time;
+    return undone;
+}
+
 auto prepareChange(const ConfigurationChange& change, const ChangeOrigin& origin,
     const std::optional<ConfigurationRecord>& record, const Configuration& configuration) -> PreparedChange
 {
--- a/src/libprimrosefork/configurationchange.h
+++ b/src/libprimrosefork/configurationchange.h
@@ -74,4 +74,14 @@
 [[nodiscard]] auto prepareChange(const ConfigurationChange& change, const ChangeOrigin& origin,
     const std::optional<ConfigurationRecord>& record, const Configuration& configuration) -> PreparedChange;
 
+/**
+ * Adds to \a findings where the record at \a key clashes with others of
+ * \a configuration: a service without its workspace, a workspace with the key of
+ * another one, a deleted workspace with services.
+ */
+auto checkReferences(const Configuration& configuration, const std::string& key, Findings& findings) -> void;
+
+/** Returns \a record with the version that it has now replaced by the one before, as a new revision. */
+[[nodiscard]] auto undoLastVersion(const ConfigurationRecord& record, const std::string& writeId) -> ConfigurationRecord;
+
 } // namespace Primrosefork
--- a/src/node/configurationwriter.cpp
+++ b/src/node/configurationwriter.cpp
@@ -1,6 +1,7 @@
 #include "configurationwriter.h"
 
 #include "errors.h"
+#include "hash.h"
 
 #include <algorithm>
 #include <optional>
@@ -10,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t writeIdBytes = 16;
 constexpr int maxSwaps = 8; ///< Against a store that keeps answering with older revisions.
 
 auto recordOf(const std::optional<StoreEntry>& entry) -> std::optional<ConfigurationRecord>
@@ -46,6 +48,32 @@
     return configuration;
 }
 
+auto templateKeyOf(const StoreEntry& entry) -> std::string
+{
+    const auto record = parseRecord(entry.value);
+    return record && isService(entry) ? ConfigurationKeys::serviceTemplate(record->current.templateName) : "";
+}
+
+/** Returns where the record at \a key clashes with the others of \a listing. */
+auto findClashes(const StoreListing& listing, const std::string& key) -> Findings
+{
+    Configuration stored;
+    Findings clashes;
+    for (const auto services : { false, true }) {
+        for (const auto& entry : listing.entries) {
+            Findings own;
+            if (isService(entry) != services || applyRecord(stored, entry.key, entry.value, own))
+                continue;
+            if (entry.key != key && templateKeyOf(entry) != key)
+                continue;
+            for (const auto& finding : own)
+                clashes.push_back({ "/" + entry.key + finding.place, finding.message });
+        }
+    }
+    checkReferences(stored, key, clashes);
+    return clashes;
+}
+
 /**
  * One change on its way into the store. Its callbacks keep it.
  */
@@ -71,6 +99,8 @@
     auto conflicted() -> void;
     auto swap() -> void;
     auto swapped(std::error_code, const StoreSwapResult&) -> void;
+    auto verify() -> void;
+    auto undo(const ConfigurationRecord&, StoreRevision expected) -> void;
     auto settle() -> void;
     auto readBack() -> void;
     auto entryRead(std::error_code, const std::optional<StoreEntry>&) -> void;
@@ -121,7 +151,8 @@
     this->prepared = prepareChange(*this->change, this->origin, record, this->configuration);
     switch (this->prepared.verdict) {
     case ChangeVerdict::AlreadyAccepted:
-        return this->accept(formatRecord(this->prepared.record));
+        this->request.value = formatRecord(this->prepared.record);
+        return this->verify();
     case ChangeVerdict::Invalid:
         return this->finish(ChangeOutcome::Invalid);
     case ChangeVerdict::Conflict:
@@ -164,10 +195,38 @@
         return this->settle();
     }
     if (result.isSwapped)
-        return this->accept(this->request.value);
+        return this->verify();
     this->prepare(result.current);
 }
 
+auto ChangeRun::verify() -> void
+{
+    this->store.list(std::string(ConfigurationKeys::all), [run = this->shared_from_this()](std::error_code error, const StoreListing& listing) {
+        // Nodes keep records that clash out of force; without an answer this is left to them.
+        auto clashes = error ? Findings {} : findClashes(listing, run->change->key());
+        const auto entry = findEntry(listing, run->change->key());
+        const auto record = recordOf(entry);
+        if (clashes.empty() || !record || record->current.writeId != run->origin.writeId)
+            return run->accept(run->request.value);
+        run->prepared.findings = std::move(clashes);
+        run->undo(*record, entry->revision);
+    });
+}
+
+auto ChangeRun::undo(const ConfigurationRecord& record, StoreRevision expected) -> void
+{
+    const auto value = formatRecord(undoLastVersion(record, randomHex(writeIdBytes)));
+    this->store.compareAndSwap({ this->change->key(), expected, value, 0 },
+        [run = this->shared_from_this(), value](std::error_code error, const StoreSwapResult& result) {
+            if (error)
+                return run->finish(ChangeOutcome::Unknown);
+            if (!result.isSwapped)
+                return run->accept(run->request.value); // Another change was made on top of this one.
+            run->onAccepted(value);
+            run->finish(ChangeOutcome::Invalid);
+        });
+}
+
 auto ChangeRun::settle() -> void
 {
     const auto now = EventLoop::now();
--- a/src/node/configurationwriter.h
+++ b/src/node/configurationwriter.h
@@ -44,6 +44,10 @@
  * lost, the record is read back and its write id compared. The swap is repeated
  * only against the same revision of the store, where at most one of the two can
  * take effect.
+ *
+ * Two changes of a template and of a service made from it are two records, and
+ * each may be valid by itself. So everything is listed again after the write: of
+ * two that clash at least one sees the other, and is undone as a new revision.
  */
 class ConfigurationWriter {
 public:
--- a/tests/configuration/test_inforce.cpp
+++ b/tests/configuration/test_inforce.cpp
@@ -127,6 +127,66 @@
     CHECK(storedRevision(cluster) == 2);
 }
 
+/** Sends \a body by PUT to \a path of node \a node; the status is in \a status when it is answered. */
+auto sendPut(Cluster& cluster, std::size_t node, const std::string& path, const Json& body, int& status) -> void
+{
+    cluster.client().httpClient().fetch(cluster.operators(node), { "PUT", path, "", { operatorHeader() }, body.dump() }, {},
+        [&status](std::error_code error, const HttpResponse& response) { status = error ? -1 : response.status; });
+}
+
+auto currentRevision(Cluster& cluster, const std::string& path) -> int
+{
+    return Json::parse(cluster.client().get(cluster.operators(0), path, { operatorHeader() }).response.body).value("revision", 0);
+}
+
+auto putAndWait(Cluster& cluster, const std::string& path, const Json& content) -> int
+{
+    int status = 0;
+    sendPut(cluster, 0, path, { { "base_revision", currentRevision(cluster, path) }, { "content", content } }, status);
+    cluster.client().waitUntil([&status] { return status != 0; }, 20s);
+    return status;
+}
+
+auto configurationState(Cluster& cluster, std::size_t node) -> Json
+{
+    return Json::parse(cluster.client().get(cluster.operators(node), "/admin/v1/state", { operatorHeader() }).response.body)["configuration"];
+}
+
+TEST_CASE("a template and a service that clash are not both accepted")
+{
+    constexpr int rounds = 10;
+    const std::string templatePath = "/admin/v1/templates/holds";
+    const std::string servicePath = "/admin/v1/services/jadeleaf/app";
+    const auto plainRoutes = Json::parse(R"({"routes": [{"path": "hold", "kind": "plain", "idempotent": false}]})");
+    const auto modelRoutes = Json::parse(R"({"routes": [{"path": "hold", "kind": "model", "idempotent": true}]})");
+    const auto withModels = parameters(5);
+    const auto withoutModels = Json::parse(R"({"backend_pools": ["booking"]})");
+    Cluster cluster({ .nodes = 2, .engines = 1, .plainServices = 1 });
+    REQUIRE(cluster.start());
+    REQUIRE(putAndWait(cluster, templatePath, plainRoutes) == HttpStatus::ok);
+    const Json service { { "workspace", "jadeleaf" }, { "name", "app" }, { "template", "holds" }, { "content", withModels } };
+    REQUIRE(cluster.client().post(cluster.operators(0), "/admin/v1/services", service.dump(), { operatorHeader() }).response.status == HttpStatus::ok);
+
+    for (int round = 0; round < rounds; ++round) {
+        CAPTURE(round);
+        int templateStatus = 0;
+        int serviceStatus = 0;
+        sendPut(cluster, 0, templatePath, { { "base_revision", currentRevision(cluster, templatePath) }, { "content", modelRoutes } }, templateStatus);
+        sendPut(cluster, 1, servicePath, { { "base_revision", currentRevision(cluster, servicePath) }, { "content", withoutModels } }, serviceStatus);
+        REQUIRE(cluster.client().waitUntil([&] { return templateStatus != 0 && serviceStatus != 0; }, 20s));
+
+        CHECK_FALSE((templateStatus == HttpStatus::ok && serviceStatus == HttpStatus::ok));
+        const auto isSettled = [&cluster] {
+            const auto first = configurationState(cluster, 0);
+            const auto second = configurationState(cluster, 1);
+            return first["digest"] == second["digest"] && first["rejected"] == 0 && second["rejected"] == 0;
+        };
+        CHECK(cluster.client().waitUntil(isSettled, inForceLimit));
+        REQUIRE(putAndWait(cluster, servicePath, withModels) == HttpStatus::ok);
+        REQUIRE(putAndWait(cluster, templatePath, plainRoutes) == HttpStatus::ok);
+    }
+}
+
 TEST_CASE("a store that answers with older revisions changes nothing")
 {
     Cluster cluster({ .nodes = 2, .engines = 1, .plainServices = 1 });
--- a/tests/operators/test_configurationwriter.cpp
+++ b/tests/operators/test_configurationwriter.cpp
@@ -40,6 +40,7 @@
     std::deque<CallFault> swapFaults;
     std::optional<StoreEntry> entry;
     std::optional<StoreEntry> olderEntry;
+    std::optional<StoreEntry> other; ///< Another record, written by someone else just before the first swap.
     int writes = 0;
     int swapCalls = 0;
 
@@ -61,6 +62,8 @@
         StoreListing listing;
         if (answer)
             listing.entries.push_back(*answer);
+        if (this->other && this->writes > 0)
+            listing.entries.push_back(*this->other);
         this->loop.post([handler = std::move(handler), error, listing] { handler(error, listing); });
     }
 
@@ -250,6 +253,27 @@
     CHECK(report.inForce.author == "ben");
 }
 
+TEST_CASE("of a template and a service that clash the later one is undone")
+{
+    EventLoop loop;
+    ScriptedStore store(loop);
+    store.apply(storedTemplate(4, "before"));
+    store.writes = 0;
+    const ConfigurationRecord service { { 1, "other", "ben", {}, "bookings", false, Json::parse(R"({"backend_pools": []})") }, {} };
+    store.other = StoreEntry { "config/services/jadeleaf/desk", formatRecord(service), 3 };
+    const Blackboard blackboard;
+
+    const auto report = runChange(loop, store, blackboard, { 4, "w", "ana", {} }, false);
+
+    CHECK(report.outcome == ChangeOutcome::Invalid);
+    CHECK(report.findings == Findings { { "/config/services/jadeleaf/desk/backend_pools", "at least one pool is needed" } });
+    const auto record = parseRecord(store.entry->value);
+    CHECK(record->current.revision == 6);
+    CHECK(record->current.content == templateContent("old"));
+    CHECK(record->findWrite("w") == nullptr);
+    CHECK(store.writes == 2);
+}
+
 TEST_CASE("a change goes on from what is in force when the store holds less")
 {
     EventLoop loop;
