Measure: Added the replay of traces against node processes

There was no way to compare routing policies. tools/measure load makes a trace from a seed and a deployment, replays it against real nodes with each policy and disturbance, and prints figures, ratios and targets.

--- /dev/null
+++ b/src/measure/load/experiment.cpp
@@ -0,0 +1,118 @@
+#include "experiment.h"
+
+#include "cluster.h"
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork::Measure {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int engineStep = 30'000; ///< In microseconds.
+constexpr int engineSlots = 8;
+constexpr int slowedFactor = 5;
+constexpr std::size_t slowedShare = 6; ///< One in so many engines.
+constexpr auto settling = 2500ms; ///< Until every node has load reports.
+constexpr auto disturbed = 3s; ///< After the start of the replay.
+constexpr auto drainLimit = 6s;
+
+auto makeOptions(const Experiment& experiment) -> Testkit::ClusterOptions
+{
+    Testkit::ClusterOptions options;
+    options.nodes = experiment.nodes;
+    options.engines = experiment.deployment.engines;
+    options.plainServices = experiment.deployment.plainServices;
+    options.zones = experiment.deployment.zones;
+    options.engine = { { "step_us", engineStep }, { "slots", engineSlots } };
+    options.settings = { { "routing_policy", experiment.policy }, { "log_level", "error" },
+        { "timeouts", { { "backend_first_byte", "60s" }, { "backend_idle", "10s" } } } };
+    return options;
+}
+
+/** Sends \a body to the control call of \a server without waiting for the answer. */
+auto sendControl(Replayer& replayer, const Address& server, const Json& body) -> void
+{
+    replayer.httpClient().fetch(server, { "POST", "/control", "", {}, body.dump() }, {}, [](std::error_code, const HttpResponse&) {});
+}
+
+auto addDisturbance(const Experiment& experiment, Testkit::Cluster& cluster, Replayer& replayer) -> void
+{
+    const auto engines = experiment.deployment.engines;
+    const auto toEngines = [&replayer, &cluster](std::size_t first, std::size_t step, std::size_t count, const Json& body) {
+        for (std::size_t engine = first; engine < count; engine += step)
+            sendControl(replayer, cluster.engine(engine), body);
+    };
+    if (experiment.disturbance == Disturbance::SlowEngines)
+        replayer.addTask(disturbed, [=] { toEngines(1, slowedShare, engines, { { "slowdown", slowedFactor } }); });
+    if (experiment.disturbance == Disturbance::FailingEngines)
+        replayer.addTask(disturbed, [=] { toEngines(0, 1, engines * 3 / 10, { { "down", true } }); });
+    if (experiment.disturbance == Disturbance::ZoneLost) {
+        replayer.addTask(disturbed, [&replayer, &cluster, &experiment, engines, toEngines] {
+            auto lost = Json::array();
+            for (std::size_t engine = 0; engine < engines; engine += experiment.deployment.zones)
+                lost.push_back(Testkit::Cluster::engineId(engine));
+            sendControl(replayer, cluster.instanceList(), { { "remove", lost } });
+            toEngines(0, experiment.deployment.zones, engines, { { "down", true } });
+        });
+    }
+}
+
+/** Returns the sum of the counter \a name with any labels in the metrics \a text. */
+auto sumOfCounter(const std::string& text, const std::string& name) -> std::int64_t
+{
+    std::istringstream lines(text);
+    double sum = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const auto space = line.rfind(' ');
+        if (line.find(name + "{") == std::string::npos || line.starts_with('#') || space == std::string::npos)
+            continue;
+        sum += std::stod(line.substr(space));
+    }
+    return static_cast<std::int64_t>(sum);
+}
+
+auto collect(const Experiment& experiment, Testkit::Cluster& cluster, ExperimentResult& result) -> void
+{
+    for (std::size_t engine = 0; engine < experiment.deployment.engines; ++engine) {
+        const auto state = cluster.control(cluster.engine(engine), Json::object());
+        if (!state.is_object())
+            continue;
+        result.computedPromptTokens += state.value("computed_prompt_tokens", std::int64_t { 0 });
+        result.generatedTokens += state.value("generated_tokens", std::int64_t { 0 });
+        result.startedStreams += state.value("started_streams", std::int64_t { 0 });
+    }
+    for (std::size_t node = 0; node < experiment.nodes; ++node) {
+        const auto text = cluster.client().get(cluster.operators(node), "/metrics",
+            { { "Authorization", std::string("Bearer ") + Testkit::Cluster::operatorKey } });
+        result.attempts += sumOfCounter(text.response.body, "attempts_total");
+        result.nodeProcessorTime += cluster.node(node).processorTime();
+    }
+}
+
+} // namespace
+
+auto runExperiment(const Experiment& experiment) -> ExperimentResult
+{
+    ExperimentResult result;
+    Testkit::Cluster cluster(makeOptions(experiment));
+    if (!cluster.start())
+        return result;
+    cluster.client().waitUntil([] { return false; }, settling);
+
+    std::vector<Address> nodes;
+    for (std::size_t node = 0; node < experiment.nodes; ++node)
+        nodes.push_back(cluster.callers(node));
+    Replayer replayer(nodes, Testkit::Cluster::callerKey);
+    addDisturbance(experiment, cluster, replayer);
+    result.outcomes = replayer.replay(experiment.trace, drainLimit);
+    collect(experiment, cluster, result);
+    result.isRun = true;
+    return result;
+}
+
+} // namespace Primrosefork::Measure
--- /dev/null
+++ b/src/measure/load/experiment.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "deployment.h"
+#include "replayer.h"
+#include "trace.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Primrosefork::Measure {
+
+/** What happens to the backend servers during a replay. */
+enum class Disturbance {
+    None,
+    SlowEngines, ///< A sixth of the engines work five times slower and do not report it.
+    ZoneLost, ///< All engines of one zone vanish.
+    FailingEngines, ///< Three in ten engines answer every request with an error.
+};
+
+/**
+ * One replay: the policy, the work and what is done to the engines.
+ */
+struct Experiment {
+    Deployment deployment;
+    std::size_t nodes = 3;
+    std::string policy;
+    Trace trace;
+    Disturbance disturbance = Disturbance::None;
+};
+
+/** What one replay gave. */
+struct ExperimentResult {
+    bool isRun = false;
+    std::vector<Outcome> outcomes;
+    std::int64_t computedPromptTokens = 0; ///< By all engines.
+    std::int64_t generatedTokens = 0;
+    std::int64_t startedStreams = 0;
+    std::int64_t attempts = 0; ///< That the nodes made.
+    std::chrono::milliseconds nodeProcessorTime { 0 };
+};
+
+/** Starts node processes and stand-ins, replays the trace against them and stops them. */
+[[nodiscard]] auto runExperiment(const Experiment&) -> ExperimentResult;
+
+} // namespace Primrosefork::Measure
--- /dev/null
+++ b/src/measure/load/main.cpp
@@ -0,0 +1,229 @@
+#include "deployment.h"
+#include "experiment.h"
+#include "figures.h"
+#include "trace.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <sodium.h>
+#include <sstream>
+
+DEFINE_string(deployment, "jadeleaf", "The deployment: jadeleaf or companera.");
+DEFINE_string(policies, "round-robin,least-outstanding,least-reported-load,product", "The routing policies, separated by commas.");
+DEFINE_string(scenarios, "short,mixed,slowed", "What is replayed: short (no long work), mixed, slowed, zone-lost, failing.");
+DEFINE_uint64(seed, 1, "Seed of the trace.");
+DEFINE_uint64(nodes, 3, "Number of node processes.");
+DEFINE_uint64(seconds, 12, "Length of the trace.");
+DEFINE_string(trace, "", "Replays this file in place of a made trace.");
+DEFINE_string(write_trace, "", "Writes the trace to this file, one JSON object a line.");
+
+namespace {
+
+using namespace Primrosefork;
+using namespace Primrosefork::Measure;
+
+constexpr int exitUsage = 2;
+constexpr double microsecondsPerMillisecond = 1000;
+constexpr auto product = "product";
+
+/** Figures by policy and scenario. */
+using FigureTable = std::map<std::string, std::map<std::string, Figures>>;
+
+auto split(const std::string& text) -> std::vector<std::string>
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+auto inMilliseconds(std::chrono::microseconds duration) -> double
+{
+    return static_cast<double>(duration.count()) / microsecondsPerMillisecond;
+}
+
+auto disturbanceOf(const std::string& scenario) -> Disturbance
+{
+    if (scenario == "slowed")
+        return Disturbance::SlowEngines;
+    if (scenario == "zone-lost")
+        return Disturbance::ZoneLost;
+    if (scenario == "failing")
+        return Disturbance::FailingEngines;
+    return Disturbance::None;
+}
+
+/** Returns whether \a scenario has long work beside the short. */
+auto hasLongWork(const std::string& scenario) -> bool
+{
+    return scenario == "mixed";
+}
+
+auto printFigures(const std::string& policy, const std::string& scenario, const Figures& figures) -> void
+{
+    std::printf("%-20s %-9s %7.0f %7.0f %8.0f %8.0f %8lld %8lld %6zu %6zu %6zu %6zu %7.2f\n", policy.c_str(), scenario.c_str(),
+        inMilliseconds(figures.medianFirstToken), inMilliseconds(figures.lateFirstToken), inMilliseconds(figures.longestStall),
+        inMilliseconds(figures.worstStall), static_cast<long long>(figures.promptTokens), static_cast<long long>(figures.longTokens),
+        figures.shortRequests, figures.unanswered, figures.refused, figures.cutOff, figures.attemptsPerRequest);
+    std::fflush(stdout);
+}
+
+auto printHeading() -> void
+{
+    std::printf("%-20s %-9s %7s %7s %8s %8s %8s %8s %6s %6s %6s %6s %7s\n", "policy", "scenario", "p50 ms", "p99 ms", "stall99", "stallmax",
+        "prompt", "longtok", "short", "unansw", "refus", "cutoff", "att/req");
+}
+
+auto runAll(const Deployment& deployment, const Trace& trace) -> FigureTable
+{
+    const auto shortTrace = withoutLongWork(trace);
+    FigureTable table;
+    printHeading();
+    for (const auto& scenario : split(FLAGS_scenarios)) {
+        for (const auto& policy : split(FLAGS_policies)) {
+            const auto& replayed = hasLongWork(scenario) ? trace : shortTrace;
+            const auto result = runExperiment({ deployment, FLAGS_nodes, policy, replayed, disturbanceOf(scenario) });
+            if (!result.isRun) {
+                std::printf("%-20s %-9s not run: the processes did not get ready\n", policy.c_str(), scenario.c_str());
+                continue;
+            }
+            table[policy][scenario] = figuresOf(result);
+            printFigures(policy, scenario, table[policy][scenario]);
+        }
+    }
+    return table;
+}
+
+/** Returns the figures of one replay, or null when it was not run. */
+auto find(const FigureTable& table, const std::string& policy, const std::string& scenario) -> const Figures*
+{
+    const auto row = table.find(policy);
+    if (row == table.end())
+        return nullptr;
+    const auto figures = row->second.find(scenario);
+    return figures == row->second.end() ? nullptr : &figures->second;
+}
+
+auto ratio(double value, double base) -> double
+{
+    return base > 0 ? value / base : 0;
+}
+
+auto ratio(std::chrono::microseconds value, std::chrono::microseconds base) -> double
+{
+    return ratio(static_cast<double>(value.count()), static_cast<double>(base.count()));
+}
+
+/** Prints each replay's figures by those of the baselines and of the same policy undisturbed. */
+auto printRatios(const FigureTable& table, std::int64_t leastTokens) -> void
+{
+    std::printf("\nproduct by baseline and ideal: p99 to first token, longest stall, prompt tokens\n");
+    for (const auto& scenario : split(FLAGS_scenarios)) {
+        const auto* own = find(table, product, scenario);
+        if (!own)
+            continue;
+        for (const auto& policy : split(FLAGS_policies)) {
+            const auto* other = find(table, policy, scenario);
+            if (other && other != own) {
+                std::printf("%-9s by %-20s %.2f %.2f %.2f\n", scenario.c_str(), policy.c_str(), ratio(own->lateFirstToken, other->lateFirstToken),
+                    ratio(own->longestStall, other->longestStall), ratio(static_cast<double>(own->promptTokens), static_cast<double>(other->promptTokens)));
+            }
+        }
+        if (const auto* ideal = find(table, product, "short")) {
+            const auto tokens = hasLongWork(scenario) ? 0.0 : ratio(static_cast<double>(own->promptTokens), static_cast<double>(leastTokens));
+            std::printf("%-9s by %-20s %.2f %.2f %.2f\n", scenario.c_str(), "ideal", ratio(own->lateFirstToken, ideal->lateFirstToken),
+                ratio(own->longestStall, ideal->longestStall), tokens);
+        }
+    }
+}
+
+auto checkWaiting(const FigureTable& table, TargetList& targets) -> void
+{
+    const auto* without = find(table, product, "short");
+    const auto* with = find(table, product, "mixed");
+    const auto* roundRobin = find(table, "round-robin", "mixed");
+    if (without && with)
+        targets.addAtMost("p99 wait of short work with long work by that without", ratio(with->lateFirstToken, without->lateFirstToken), 1.1);
+    if (with && roundRobin)
+        targets.addAtMost("p99 wait of short work with long work by round robin's", ratio(with->lateFirstToken, roundRobin->lateFirstToken), 0.2);
+}
+
+auto checkSlowdown(const FigureTable& table, TargetList& targets) -> void
+{
+    const auto* whole = find(table, product, "short");
+    const auto* slowed = find(table, product, "slowed");
+    if (!whole || !slowed)
+        return;
+    targets.addAtMost("p99 to first token with slowed engines by that without", ratio(slowed->lateFirstToken, whole->lateFirstToken), 1.25);
+    targets.addAtMost("longest stall (p99 of streams) with slowed engines by that without", ratio(slowed->longestStall, whole->longestStall), 1.25);
+}
+
+auto checkTokens(const FigureTable& table, std::int64_t leastTokens, TargetList& targets) -> void
+{
+    if (const auto* whole = find(table, product, "short"))
+        targets.addAtMost("prompt tokens computed by the least possible", ratio(static_cast<double>(whole->promptTokens), static_cast<double>(leastTokens)), 1.15);
+    if (const auto* lost = find(table, product, "zone-lost"))
+        targets.addAtMost("prompt tokens computed with a zone lost by the least possible", ratio(static_cast<double>(lost->promptTokens), static_cast<double>(leastTokens)), 1.3);
+}
+
+auto checkFailures(const FigureTable& table, TargetList& targets) -> void
+{
+    if (const auto* failing = find(table, product, "failing")) {
+        targets.addAtMost("attempts by accepted request with 3 in 10 engines failing", failing->attemptsPerRequest, 1.1);
+        targets.addAtMost("accepted requests without a whole answer with 3 in 10 engines failing", static_cast<double>(failing->unanswered - failing->refused), 0);
+    }
+    if (const auto* lost = find(table, product, "zone-lost"))
+        targets.addAtMost("short requests without a whole answer with a zone lost", static_cast<double>(lost->unanswered), 0);
+}
+
+auto measure() -> int
+{
+    const auto deployment = findDeployment(FLAGS_deployment);
+    if (!deployment) {
+        std::cerr << "no deployment is called \"" << FLAGS_deployment << "\"\n";
+        return exitUsage;
+    }
+    const auto trace = FLAGS_trace.empty() ? makeTrace(*deployment, FLAGS_seed, std::chrono::seconds(FLAGS_seconds)) : readTrace(FLAGS_trace);
+    if (trace.empty() || (!FLAGS_write_trace.empty() && !writeTrace(trace, FLAGS_write_trace))) {
+        std::cerr << "cannot read or write the trace\n";
+        return EXIT_FAILURE;
+    }
+    const auto shortTrace = withoutLongWork(trace);
+    const auto leastTokens = leastPromptTokens(shortTrace);
+    std::printf("%s: %zu engines, %zu nodes, seed %llu, %zu short and %zu long requests in %llu s; least prompt tokens %lld short, %lld all\n",
+        deployment->name, deployment->engines, static_cast<std::size_t>(FLAGS_nodes), static_cast<unsigned long long>(FLAGS_seed), shortTrace.size(),
+        trace.size() - shortTrace.size(), static_cast<unsigned long long>(FLAGS_seconds), static_cast<long long>(leastTokens),
+        static_cast<long long>(leastPromptTokens(trace)));
+
+    const auto table = runAll(*deployment, trace);
+    printRatios(table, leastTokens);
+    std::printf("\n");
+    TargetList targets;
+    checkWaiting(table, targets);
+    checkSlowdown(table, targets);
+    checkTokens(table, leastTokens, targets);
+    checkFailures(table, targets);
+    targets.printTotal();
+    return targets.failedCount() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    gflags::SetUsageMessage("Replays a trace against node processes with each routing policy.\n\nExample:\n  measure_load --deployment jadeleaf --seed 1");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (sodium_init() < 0)
+        return EXIT_FAILURE;
+    try {
+        return measure();
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
