Routing: Kept a conversation's server the same on every node

Counts of prompts differ a little between nodes, and with them the number of servers for a shared prefix, so that conversations moved. The number now takes one of three values far apart. The measurement warms up before it counts.

--- a/src/libprimrosefork/prefixaffinity.cpp
+++ b/src/libprimrosefork/prefixaffinity.cpp
@@ -15,13 +15,27 @@
 constexpr std::size_t maxBlocks = 48;
 constexpr std::uint32_t countedPrompts = 2048; ///< After so many all counts are halved.
 constexpr std::uint32_t unknownPrompts = 8; ///< Added to the total, so that the first prompts do not spread at once.
-constexpr double headroom = 1.25; ///< Servers for a shared prefix by its share of the requests.
+constexpr std::uint32_t countedForAnchor = 16; ///< Prompts after which shares tell something.
+constexpr double largestShare = 0.5; ///< A block of more of the prompts is a common opening and says little.
+constexpr std::size_t spillServers = 2; ///< Further servers on the ring, for when those are loaded.
 
 auto mix(std::uint64_t key, std::string_view id) -> std::uint64_t
 {
     return hash64(std::to_string(key) + std::string(id));
 }
 
+/** Returns one of few numbers that lie far apart, so that nodes with slightly different counts agree. */
+auto serverCount(double proportional) -> std::size_t
+{
+    constexpr double severalFrom = 0.75;
+    constexpr double manyFrom = 6;
+    constexpr std::size_t several = 4;
+    constexpr std::size_t many = 16;
+    if (proportional < severalFrom)
+        return 1;
+    return proportional < manyFrom ? several : many;
+}
+
 } // namespace
 
 auto prefixBlocks(std::string_view prompt) -> std::vector<std::uint64_t>
@@ -45,16 +59,17 @@
         return {};
     this->count(blocks);
     const auto depth = this->sharedDepth(blocks);
-    const auto sharedBlock = blocks[depth == 0 ? 0 : depth - 1];
+    const auto sharedBlock = this->anchorOf(blocks, depth);
     const auto ownBlock = blocks[std::min(depth, blocks.size() - 1)];
-    const auto wanted = std::ceil(this->shareOf(sharedBlock) * headroom * static_cast<double>(candidates.count(places)));
-    const auto servers = candidates.onRing(sharedBlock, places, std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, limit));
+    const auto wanted = serverCount(this->shareOf(sharedBlock) * static_cast<double>(candidates.count(places)));
+    const auto servers = candidates.onRing(sharedBlock, places, std::min(wanted + spillServers, limit));
+    const auto keepers = std::span(servers).first(std::min(wanted, servers.size()));
 
-    const auto best = std::max_element(servers.begin(), servers.end(),
+    const auto best = std::max_element(keepers.begin(), keepers.end(),
         [ownBlock](const auto* first, const auto* second) { return mix(ownBlock, first->id) < mix(ownBlock, second->id); });
     const auto sharedTokens = std::min(promptTokens, static_cast<std::int64_t>(depth) * blockTokens);
     std::vector<PreferredServer> result;
-    if (best != servers.end())
+    if (best != keepers.end())
         result.push_back({ *best, promptTokens });
     for (const auto* server : servers) {
         if (server != *best)
@@ -90,6 +105,17 @@
     return depth;
 }
 
+auto PrefixAffinity::anchorOf(std::span<const std::uint64_t> blocks, std::size_t depth) const -> std::uint64_t
+{
+    if (depth == 0 || this->total < countedForAnchor)
+        return blocks.front();
+    for (const auto block : blocks.first(depth)) {
+        if (this->shareOf(block) < largestShare)
+            return block;
+    }
+    return blocks[depth - 1];
+}
+
 auto PrefixAffinity::shareOf(std::uint64_t block) const -> double
 {
     return static_cast<double>(this->known.at(block).prompts) / static_cast<double>(this->total + unknownPrompts);
--- a/src/libprimrosefork/productpolicy.cpp
+++ b/src/libprimrosefork/productpolicy.cpp
@@ -15,7 +15,8 @@
 constexpr double prefillTokensPerMillisecond = 8;
 constexpr double recomputeWeight = 3; ///< Price of a prompt token computed again, in time of its prefill.
 constexpr Cost fullServer { 500 }; ///< For each request before the next free slot.
-constexpr Cost filledServer { 30 }; ///< For the last slot; earlier ones in proportion.
+constexpr Cost filledServer { 120 }; ///< For the last slot; earlier ones by the square of their part.
+constexpr double peersAlike = 0.7; ///< Of what this node has open, what each other node is thought to have at least.
 constexpr Cost otherZone { 3 };
 constexpr Cost longPlace { 250 }; ///< For short work on a place of long work.
 constexpr Cost failingServer { 5000 };
@@ -147,10 +148,13 @@
 {
     const auto load = this->work.loadOf(server);
     const auto slots = std::max<std::int64_t>(1, server.slots);
+    const auto alike = peersAlike * static_cast<double>(this->nodeCount - 1);
+    const auto others = std::max(static_cast<double>(load.otherRequests), alike * static_cast<double>(load.ownRequests));
+    const auto filled = (static_cast<double>(load.ownRequests) + others) / static_cast<double>(slots);
     auto cost = Cost(static_cast<double>(load.prefillTokens) / prefillTokensPerMillisecond);
-    cost += filledServer * (static_cast<double>(load.requests()) / static_cast<double>(slots));
-    if (load.requests() >= slots)
-        cost += fullServer * static_cast<double>(load.requests() - slots + 1);
+    cost += filledServer * (filled * filled);
+    if (filled >= 1)
+        cost += fullServer * ((filled - 1) * static_cast<double>(slots) + 1);
     return cost;
 }
 
--- a/src/measure/load/experiment.h
+++ b/src/measure/load/experiment.h
@@ -31,13 +31,16 @@
     std::string policy;
     Trace trace;
     Disturbance disturbance = Disturbance::None;
+    std::chrono::milliseconds warmup { 0 }; ///< What is sent before is not counted.
 };
 
 /** What one replay gave. */
 struct ExperimentResult {
     bool isRun = false;
     std::vector<Outcome> outcomes;
-    std::int64_t computedPromptTokens = 0; ///< By all engines.
+    std::int64_t computedPromptTokens = 0; ///< By all engines after the warm-up.
+    std::int64_t warmupPromptTokens = 0; ///< By all engines before.
+    std::size_t acceptedRequests = 0; ///< Warm-up included, like the attempts.
     std::int64_t generatedTokens = 0;
     std::int64_t startedStreams = 0;
     std::int64_t attempts = 0; ///< That the nodes made.
--- a/src/measure/load/figures.cpp
+++ b/src/measure/load/figures.cpp
@@ -49,7 +49,7 @@
     figures.longestStall = quantile(stalls, late);
     figures.worstStall = quantile(stalls, 1);
     figures.promptTokens = result.computedPromptTokens;
-    const auto accepted = result.outcomes.size() - figures.refused;
+    const auto accepted = result.acceptedRequests;
     figures.attemptsPerRequest = accepted == 0 ? 0 : static_cast<double>(result.attempts) / static_cast<double>(accepted);
     return figures;
 }
