Routing: Started one long prompt at a time on a server

Short work waited 600 to 800 ms behind the prompts of long work that started together. A node now starts the next one on a server after the first token of the last, and counts other nodes' prompts like its own. Short work also spills to the places of long work earlier.

--- a/src/libprimrosefork/outstandingwork.cpp
+++ b/src/libprimrosefork/outstandingwork.cpp
@@ -105,7 +105,7 @@
     if (found == this->servers.end())
         return {};
     const auto& state = found->second;
-    return { state.requests, state.longRequests, state.otherRequests, state.prefillTokens + state.otherPrefillTokens, state.decodeTokens };
+    return { state.requests, state.longRequests, state.otherRequests, state.prefillTokens, state.otherPrefillTokens, state.decodeTokens };
 }
 
 } // namespace Primrosefork
--- a/src/libprimrosefork/outstandingwork.h
+++ b/src/libprimrosefork/outstandingwork.h
@@ -19,7 +19,8 @@
     std::int64_t ownRequests = 0; ///< Of this node.
     std::int64_t ownLongRequests = 0;
     std::int64_t otherRequests = 0; ///< Of other nodes, by the last report.
-    std::int64_t prefillTokens = 0; ///< Of prompts before their first token, all nodes.
+    std::int64_t ownPrefillTokens = 0; ///< Of this node's prompts before their first token.
+    std::int64_t otherPrefillTokens = 0; ///< Of other nodes, by the last report.
     std::int64_t decodeTokens = 0; ///< Still expected by this node.
 
     [[nodiscard]] auto requests() const -> std::int64_t { return this->ownRequests + this->otherRequests; }
--- a/src/libprimrosefork/productpolicy.cpp
+++ b/src/libprimrosefork/productpolicy.cpp
@@ -13,12 +13,12 @@
 constexpr std::size_t sampledServers = 8;
 constexpr std::size_t maxPreferred = 16;
 constexpr double prefillTokensPerMillisecond = 8;
-constexpr double recomputeWeight = 3; ///< Price of a prompt token computed again, in time of its prefill.
+constexpr double recomputeWeight = 1.5; ///< Price of a prompt token computed again, in time of its prefill.
 constexpr Cost fullServer { 500 }; ///< For each request before the next free slot.
 constexpr Cost filledServer { 120 }; ///< For the last slot; earlier ones by the square of their part.
 constexpr double peersAlike = 0.7; ///< Of what this node has open, what each other node is thought to have at least.
 constexpr Cost otherZone { 3 };
-constexpr Cost longPlace { 250 }; ///< For short work on a place of long work.
+constexpr Cost longPlace { 60 }; ///< For short work on a place of long work.
 constexpr Cost failingServer { 5000 };
 constexpr Cost slowServer { 400 }; ///< For each time that it is slower than its peers.
 constexpr Cost noise { 4 };
@@ -87,7 +87,8 @@
     const auto load = this->work.loadOf(server);
     const auto nodes = static_cast<std::int64_t>(this->nodeCount);
     const auto ownPlaces = std::max<std::int64_t>(1, places / nodes);
-    if (load.ownLongRequests >= ownPlaces)
+    // One prompt of long work after the other, so that short work finds gaps between them.
+    if (load.ownLongRequests >= ownPlaces || load.ownPrefillTokens > 0)
         return false;
     return load.ownLongRequests == 0 || load.requests() < places;
 }
@@ -151,7 +152,9 @@
     const auto alike = peersAlike * static_cast<double>(this->nodeCount - 1);
     const auto others = std::max(static_cast<double>(load.otherRequests), alike * static_cast<double>(load.ownRequests));
     const auto filled = (static_cast<double>(load.ownRequests) + others) / static_cast<double>(slots);
-    auto cost = Cost(static_cast<double>(load.prefillTokens) / prefillTokensPerMillisecond);
+    const auto ownPrefill = static_cast<double>(load.ownPrefillTokens);
+    const auto otherPrefill = std::max(static_cast<double>(load.otherPrefillTokens), alike * ownPrefill);
+    auto cost = Cost((ownPrefill + otherPrefill) / prefillTokensPerMillisecond);
     cost += filledServer * (filled * filled);
     if (filled >= 1)
         cost += fullServer * ((filled - 1) * static_cast<double>(slots) + 1);
