--- a/src/libprimrosefork/candidatelist.cpp
+++ b/src/libprimrosefork/candidatelist.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t pointsPerServer = 16;
-constexpr std::size_t longPlaceDivisor = 2; ///< One in so many servers takes long work.
+constexpr std::size_t longPlaceDivisor = 3; ///< One in so many servers takes long work.
 
 } // namespace
 
--- /dev/null
+++ b/src/measure/decide/main.cpp
@@ -0,0 +1,201 @@
+#include "hash.h"
+#include "process.h"
+#include "productpolicy.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <exception>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sodium.h>
+#include <vector>
+
+DEFINE_bool(instructions, true, "Counts instructions with valgrind too.");
+DEFINE_uint64(single, 0, "Only makes decisions among so many engines, for the count of instructions.");
+DEFINE_uint64(decisions, 2000, "Decisions of one repeat.");
+
+namespace {
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::array<std::size_t, 4> engineCounts { 12, 100, 500, 1500 };
+constexpr int repeats = 9;
+constexpr std::size_t conversations = 200;
+constexpr std::size_t promptBytes = 4096;
+constexpr double allowedMicroseconds = 20;
+constexpr std::uint64_t countedDecisions = 400;
+
+auto makeServers(std::size_t count) -> std::vector<BackendServer>
+{
+    std::vector<BackendServer> servers;
+    for (std::size_t engine = 0; engine < count; ++engine) {
+        BackendServer server;
+        server.id = "engine-" + std::to_string(engine);
+        server.zone = std::string(1, static_cast<char>('a' + engine % 3));
+        servers.push_back(std::move(server));
+    }
+    return servers;
+}
+
+auto makeReports(const std::vector<BackendServer>& servers, Clock::time_point now) -> LoadReports
+{
+    LoadReports reports;
+    for (const auto& server : servers)
+        reports[server.id] = { static_cast<std::int64_t>(hash64(server.id) % 8), 0, 0, now };
+    return reports;
+}
+
+/** Makes decisions as a node does, with the requests before still open. */
+class Bench {
+public:
+    explicit Bench(std::size_t engines)
+        : servers(makeServers(engines))
+        , policy(1)
+        , candidates(pointers())
+    {
+        this->policy.loadReported(makeReports(this->servers, this->now), this->now);
+        for (std::size_t conversation = 0; conversation < conversations; ++conversation)
+            this->blocks.push_back(prefixBlocks(std::string(promptBytes / 2, 'x') + std::string(promptBytes / 2, static_cast<char>('a' + conversation % 26)) + std::to_string(conversation)));
+    }
+
+    auto decide(std::uint64_t count) -> void
+    {
+        for (std::uint64_t step = 0; step < count; ++step) {
+            this->now += 1ms;
+            RoutingRequest request;
+            request.id = ++this->nextId;
+            request.promptTokens = promptBytes / 4;
+            request.expectedTokens = 100;
+            request.prefixBlocks = this->blocks[step % this->blocks.size()];
+            request.zone = "a";
+            const auto* server = this->policy.choose(request, this->candidates, this->now);
+            if (!server)
+                continue;
+            this->policy.requestSent(request, *server, this->now);
+            this->open.push_back({ request, server });
+            if (this->open.size() > this->servers.size()) {
+                const auto& [oldest, place] = this->open.front();
+                this->policy.requestEnded(oldest, *place, AttemptEnd::Finished, this->now);
+                this->open.pop_front();
+            }
+        }
+    }
+
+private:
+    struct OpenRequest {
+        RoutingRequest request;
+        const BackendServer* server = nullptr;
+    };
+
+    auto pointers() -> std::vector<const BackendServer*>
+    {
+        std::vector<const BackendServer*> result;
+        for (const auto& server : this->servers)
+            result.push_back(&server);
+        return result;
+    }
+
+    std::vector<BackendServer> servers;
+    ProductPolicy policy;
+    CandidateList candidates;
+    std::vector<std::vector<std::uint64_t>> blocks;
+    std::deque<OpenRequest> open;
+    std::uint64_t nextId = 0;
+    Clock::time_point now { 1h };
+};
+
+/** Returns the median microseconds of one decision among \a engines. */
+auto timeOfDecision(std::size_t engines) -> double
+{
+    Bench bench(engines);
+    bench.decide(FLAGS_decisions);
+    std::array<double, repeats> times {};
+    for (auto& time : times) {
+        const auto start = Clock::now();
+        bench.decide(FLAGS_decisions);
+        const std::chrono::duration<double, std::micro> elapsed = Clock::now() - start;
+        time = elapsed.count() / static_cast<double>(FLAGS_decisions);
+    }
+    std::nth_element(times.begin(), times.begin() + repeats / 2, times.end());
+    return times[repeats / 2];
+}
+
+/** Returns the instructions that this program runs for \a decisions among \a engines, or 0 when they cannot be counted. */
+auto countInstructions(const std::string& program, std::size_t engines, std::uint64_t decisions) -> std::uint64_t
+{
+    const auto result = Testkit::runProgram("/usr/bin/valgrind",
+        { "--tool=callgrind", "--callgrind-out-file=/dev/null", program, "--single=" + std::to_string(engines), "--decisions=" + std::to_string(decisions) }, 60s);
+    constexpr std::string_view label = "Collected : ";
+    const auto place = result.output.find(label);
+    std::uint64_t instructions = 0;
+    if (result.exitCode != 0 || place == std::string::npos)
+        return 0;
+    const auto* first = result.output.data() + place + label.size();
+    std::from_chars(first, result.output.data() + result.output.size(), instructions);
+    return instructions;
+}
+
+auto instructionsOfDecision(const std::string& program, std::size_t engines) -> std::uint64_t
+{
+    const auto few = countInstructions(program, engines, countedDecisions);
+    const auto many = countInstructions(program, engines, 2 * countedDecisions);
+    return few == 0 || many < few ? 0 : (many - few) / countedDecisions;
+}
+
+auto printTarget(bool holds, const char* name, double figure, double bound) -> int
+{
+    std::printf("%-6s %s: %.2f, at most %.2f\n", holds ? "holds" : "missed", name, figure, bound);
+    return holds ? 1 : 0;
+}
+
+auto measure(const std::string& program) -> int
+{
+    std::printf("engines  microseconds  instructions (of one decision)\n");
+    std::array<double, engineCounts.size()> times {};
+    std::array<std::uint64_t, engineCounts.size()> instructions {};
+    for (std::size_t index = 0; index < engineCounts.size(); ++index) {
+        times[index] = timeOfDecision(engineCounts[index]);
+        instructions[index] = FLAGS_instructions ? instructionsOfDecision(program, engineCounts[index]) : 0;
+        std::printf("%7zu  %12.2f  %12llu\n", engineCounts[index], times[index], static_cast<unsigned long long>(instructions[index]));
+        std::fflush(stdout);
+    }
+    const auto growthOfEngines = static_cast<double>(engineCounts.back()) / static_cast<double>(engineCounts.front());
+    const auto hasCounts = instructions.front() > 0 && instructions.back() > 0;
+    const auto growth = hasCounts ? static_cast<double>(instructions.back()) / static_cast<double>(instructions.front()) : times.back() / times.front();
+    int passed = printTarget(times.back() <= allowedMicroseconds, "microseconds of a decision among 1500 engines", times.back(), allowedMicroseconds);
+    passed += printTarget(growth < growthOfEngines, "growth of a decision from 12 to 1500 engines", growth, growthOfEngines);
+    std::printf("%d passed, %d failed\n", passed, 2 - passed);
+    return passed == 2 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+auto runProgram(int argc, char** argv) -> int
+{
+    gflags::SetUsageMessage("Measures what one routing decision costs.\n\nExample:\n  measure_decide --noinstructions");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (sodium_init() < 0)
+        return EXIT_FAILURE;
+    if (FLAGS_single == 0)
+        return measure(argv[0]);
+    Bench bench(FLAGS_single);
+    bench.decide(FLAGS_decisions);
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    try {
+        return runProgram(argc, argv);
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/tests/routing/test_prefixaffinity.cpp
@@ -0,0 +1,163 @@
+#include "prefixaffinity.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace Primrosefork;
+
+namespace {
+
+constexpr std::size_t blockBytes = 256;
+constexpr std::size_t maxServers = 16;
+
+auto makeServers(std::size_t count) -> std::vector<BackendServer>
+{
+    std::vector<BackendServer> servers(count);
+    for (std::size_t index = 0; index < count; ++index)
+        servers[index].id = "e" + std::to_string(index);
+    return servers;
+}
+
+auto makeList(const std::vector<BackendServer>& servers, std::size_t without = SIZE_MAX) -> CandidateList
+{
+    std::vector<const BackendServer*> pointers;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        if (index != without)
+            pointers.push_back(&servers[index]);
+    }
+    return CandidateList(pointers);
+}
+
+/** Returns the prompt of \a turn of a conversation: instructions of two blocks, then a block for each turn. */
+auto makePrompt(int instructions, int conversation, int turn) -> std::string
+{
+    std::string prompt(2 * blockBytes, static_cast<char>('a' + instructions));
+    for (int step = 0; step <= turn; ++step) {
+        auto text = std::to_string(conversation) + "/" + std::to_string(step);
+        text.resize(blockBytes, '.');
+        prompt += text;
+    }
+    return prompt;
+}
+
+auto home(PrefixAffinity& affinity, const CandidateList& list, const std::string& prompt) -> std::string
+{
+    const auto blocks = prefixBlocks(prompt);
+    const auto found = affinity.preferred(blocks, static_cast<std::int64_t>(prompt.size() / 4), list, RingPlaces::All, maxServers);
+    return found.empty() ? "" : found.front().server->id;
+}
+
+struct BlockCase {
+    const char* name;
+    std::size_t bytes;
+    std::size_t blocks;
+};
+
+const BlockCase blockCases[] = {
+    { "empty", 0, 0 },
+    { "less than a block", 255, 0 },
+    { "one block", 256, 1 },
+    { "a part of the second", 511, 1 },
+    { "two blocks", 512, 2 },
+    { "a very long prompt", 1'000'000, 48 },
+};
+
+TEST_CASE("prompts are cut into whole blocks")
+{
+    for (const auto& row : blockCases) {
+        CAPTURE(row.name);
+        CHECK(prefixBlocks(std::string(row.bytes, 'x')).size() == row.blocks);
+    }
+}
+
+TEST_CASE("a block's hash depends on all the text before it")
+{
+    const auto first = prefixBlocks(std::string(256, 'a') + std::string(256, 'x'));
+    const auto second = prefixBlocks(std::string(256, 'b') + std::string(256, 'x'));
+    CHECK(first[0] != second[0]);
+    CHECK(first[1] != second[1]);
+}
+
+TEST_CASE("a prompt shorter than a block prefers no server")
+{
+    const auto servers = makeServers(12);
+    PrefixAffinity affinity;
+    CHECK(home(affinity, makeList(servers), "hello").empty());
+}
+
+TEST_CASE("turns of a conversation keep their server, on each node alike")
+{
+    const auto servers = makeServers(12);
+    const auto list = makeList(servers);
+    PrefixAffinity first;
+    PrefixAffinity second;
+    // Each node sees other conversations, but both learn where the instructions end.
+    for (int conversation = 0; conversation < 60; ++conversation) {
+        home(first, list, makePrompt(conversation % 3, conversation, 0));
+        home(second, list, makePrompt(conversation % 3, 1000 + conversation, 0));
+    }
+    int moved = 0;
+    for (int conversation = 0; conversation < 50; ++conversation) {
+        const auto place = home(first, list, makePrompt(conversation % 3, 2000 + conversation, 0));
+        for (int turn = 1; turn < 6; ++turn) {
+            auto& node = turn % 2 == 0 ? first : second;
+            moved += home(node, list, makePrompt(conversation % 3, 2000 + conversation, turn)) == place ? 0 : 1;
+        }
+    }
+    CHECK(moved == 0);
+}
+
+TEST_CASE("conversations with the same instructions are spread over a few servers")
+{
+    const auto servers = makeServers(100);
+    const auto list = makeList(servers);
+    PrefixAffinity affinity;
+    std::set<std::string> places;
+    for (int conversation = 0; conversation < 500; ++conversation) {
+        const auto place = home(affinity, list, makePrompt(conversation % 5, conversation, 0));
+        if (conversation >= 100 && conversation % 5 == 0)
+            places.insert(place);
+    }
+    CHECK(places.size() >= 8);
+    CHECK(places.size() <= maxServers);
+}
+
+TEST_CASE("only the conversations of a lost server move")
+{
+    const auto servers = makeServers(12);
+    const auto whole = makeList(servers);
+    PrefixAffinity affinity;
+    for (int conversation = 0; conversation < 100; ++conversation)
+        home(affinity, whole, makePrompt(conversation % 3, conversation, 0));
+    const std::size_t lost = 4;
+    const auto rest = makeList(servers, lost);
+    int moved = 0;
+    int stayed = 0;
+    for (int conversation = 0; conversation < 100; ++conversation) {
+        const auto prompt = makePrompt(conversation % 3, 500 + conversation, 1);
+        const auto before = home(affinity, whole, prompt);
+        const auto after = home(affinity, rest, prompt);
+        CHECK(after != servers[lost].id);
+        if (before != servers[lost].id)
+            ++(after == before ? stayed : moved);
+    }
+    // A server that takes the lost one's place on the ring may win some.
+    CHECK(moved <= (moved + stayed) / 4);
+}
+
+TEST_CASE("places for long work are left out when asked")
+{
+    const auto servers = makeServers(12);
+    const auto list = makeList(servers);
+    PrefixAffinity affinity;
+    for (int conversation = 0; conversation < 100; ++conversation) {
+        const auto blocks = prefixBlocks(makePrompt(conversation % 3, conversation, 0));
+        for (const auto& preferred : affinity.preferred(blocks, 200, list, RingPlaces::ShortOnly, maxServers))
+            CHECK_FALSE(list.isLongPlace(*preferred.server));
+    }
+    CHECK(list.longPlaces().size() == 4);
+    CHECK(list.count(RingPlaces::ShortOnly) == 8);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/routing/test_productpolicy.cpp
@@ -0,0 +1,252 @@
+#include "productpolicy.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr RoutingPolicy::TimePoint start { 1h };
+
+auto makeServers(std::size_t count) -> std::vector<BackendServer>
+{
+    std::vector<BackendServer> servers(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        servers[index].id = "e" + std::to_string(index);
+        servers[index].zone = index % 2 == 0 ? "a" : "b";
+    }
+    return servers;
+}
+
+auto makeList(const std::vector<BackendServer>& servers) -> CandidateList
+{
+    std::vector<const BackendServer*> pointers;
+    for (const auto& server : servers)
+        pointers.push_back(&server);
+    return CandidateList(pointers);
+}
+
+auto makeRequest(std::uint64_t id, WorkClass workClass = WorkClass::Short) -> RoutingRequest
+{
+    RoutingRequest request;
+    request.id = id;
+    request.workClass = workClass;
+    request.promptTokens = 100;
+    request.expectedTokens = 50;
+    request.zone = "a";
+    return request;
+}
+
+struct LoadCase {
+    const char* name;
+    std::int64_t nearPrompts; ///< Tokens of the prompt of one request at the server of the own zone.
+    int nearRequests; ///< With short prompts that are computed.
+    std::int64_t nearReported;
+    const char* chosen;
+};
+
+const LoadCase loadCases[] = {
+    { "nothing open: the own zone", 0, 0, 0, "e0" },
+    { "a long prompt not computed yet", 4000, 0, 0, "e1" },
+    { "a few requests cost more than the way", 0, 5, 0, "e1" },
+    { "one request does not", 0, 1, 0, "e0" },
+    { "other nodes' work by the report", 0, 0, 8, "e1" },
+};
+
+TEST_CASE("the nearer server is chosen until its load costs more than the way")
+{
+    for (const auto& row : loadCases) {
+        CAPTURE(row.name);
+        const auto servers = makeServers(2);
+        const auto list = makeList(servers);
+        // The way costs less than the noise now and then, so that most of some choices count.
+        std::map<std::string, int> chosen;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            ProductPolicy policy(seed);
+            if (row.nearReported > 0)
+                policy.loadReported({ { "e0", { row.nearReported, 0, 0, start } } }, start);
+            std::uint64_t id = 100;
+            for (int open = 0; open < row.nearRequests; ++open) {
+                policy.requestSent(makeRequest(id), servers[0], start);
+                policy.firstPieceReceived(makeRequest(id++), servers[0], start);
+            }
+            if (row.nearPrompts > 0) {
+                auto large = makeRequest(id);
+                large.promptTokens = row.nearPrompts;
+                policy.requestSent(large, servers[0], start);
+            }
+            ++chosen[policy.choose(makeRequest(1), list, start)->id];
+        }
+        CHECK(chosen[row.chosen] >= 15);
+    }
+}
+
+TEST_CASE("nodes with the same view do not all choose the same server")
+{
+    const auto servers = makeServers(40);
+    const auto list = makeList(servers);
+    std::map<std::string, int> chosen;
+    for (std::uint64_t node = 1; node <= 40; ++node) {
+        ProductPolicy policy(node * 1000);
+        ++chosen[policy.choose(makeRequest(1), list, start)->id];
+    }
+    CHECK(chosen.size() >= 12);
+    for (const auto& [id, count] : chosen)
+        CHECK(count <= 6);
+}
+
+TEST_CASE("no candidate gives no server")
+{
+    ProductPolicy policy(1);
+    CHECK(policy.choose(makeRequest(1), CandidateList({}), start) == nullptr);
+    CHECK(policy.choose(makeRequest(1), std::span<const BackendServer* const> {}, start) == nullptr);
+}
+
+TEST_CASE("an excluded server is not chosen")
+{
+    const auto servers = makeServers(3);
+    const auto list = makeList(servers);
+    const std::set<std::string> excluded { "e0", "e2" };
+    ProductPolicy policy(1);
+    auto request = makeRequest(1);
+    request.excluded = &excluded;
+    for (int step = 0; step < 20; ++step)
+        CHECK(policy.choose(request, list, start)->id == "e1");
+}
+
+struct LongCase {
+    const char* name;
+    std::size_t nodes;
+    std::chrono::milliseconds waited;
+    int admitted; ///< Of 200 long requests at 12 servers with 8 slots, 4 of them places for long work.
+};
+
+const LongCase longCases[] = {
+    { "one node", 1, 0ms, 28 },
+    { "three nodes share the places", 3, 0ms, 8 },
+    { "many nodes keep one place each", 100, 0ms, 4 },
+    { "those that waited too long go on", 3, 30'000ms, 200 },
+};
+
+TEST_CASE("long work is limited to its places")
+{
+    for (const auto& row : longCases) {
+        CAPTURE(row.name);
+        const auto servers = makeServers(12);
+        const auto list = makeList(servers);
+        ProductPolicy policy(1);
+        policy.setNodeCount(row.nodes);
+        int admitted = 0;
+        for (std::uint64_t id = 1; id <= 200; ++id) {
+            auto request = makeRequest(id, WorkClass::Long);
+            request.waited = row.waited;
+            const auto* server = policy.choose(request, list, start);
+            if (!server)
+                continue;
+            ++admitted;
+            CHECK(list.isLongPlace(*server));
+            policy.requestSent(request, *server, start);
+            policy.firstPieceReceived(request, *server, start);
+        }
+        CHECK(admitted == row.admitted);
+    }
+}
+
+TEST_CASE("prompts of long work are computed one after the other")
+{
+    const auto servers = makeServers(1);
+    const auto list = makeList(servers);
+    ProductPolicy policy(1);
+    const auto first = makeRequest(1, WorkClass::Long);
+    REQUIRE(policy.choose(first, list, start));
+    policy.requestSent(first, servers[0], start);
+    CHECK_FALSE(policy.choose(makeRequest(2, WorkClass::Long), list, start));
+    policy.firstPieceReceived(first, servers[0], start + 1s);
+    CHECK(policy.choose(makeRequest(2, WorkClass::Long), list, start + 1s));
+}
+
+TEST_CASE("short work keeps away from places where long work runs")
+{
+    const auto servers = makeServers(12);
+    const auto list = makeList(servers);
+    ProductPolicy policy(1);
+    policy.choose(makeRequest(1, WorkClass::Long), list, start);
+    for (std::uint64_t id = 2; id < 42; ++id)
+        CHECK_FALSE(list.isLongPlace(*policy.choose(makeRequest(id), list, start)));
+}
+
+TEST_CASE("a slow server gets nothing but probes")
+{
+    const auto servers = makeServers(6);
+    const auto list = makeList(servers);
+    ProductPolicy policy(1);
+    auto now = start;
+    for (std::uint64_t index = 0; index < servers.size(); ++index) {
+        policy.requestSent(makeRequest(100 + index), servers[index], now);
+        policy.firstPieceReceived(makeRequest(100 + index), servers[index], now);
+    }
+    auto slowLast = now;
+    for (int step = 0; step < 60; ++step) {
+        now += 30ms;
+        for (std::uint64_t index = 1; index < servers.size(); ++index)
+            policy.pieceReceived(makeRequest(100 + index), servers[index], 1, now);
+        if (now - slowLast >= 150ms) {
+            policy.pieceReceived(makeRequest(100), servers[0], 1, now);
+            slowLast = now;
+        }
+    }
+    int sent = 0;
+    for (std::uint64_t id = 200; id < 1200; ++id) {
+        now += 10ms;
+        sent += policy.choose(makeRequest(id), list, now)->id == "e0" ? 1 : 0;
+    }
+    CHECK(sent >= 1);
+    CHECK(sent <= 2);
+}
+
+TEST_CASE("a failing server is avoided while there are others")
+{
+    const auto servers = makeServers(2);
+    const auto list = makeList(servers);
+    ProductPolicy policy(1);
+    policy.requestSent(makeRequest(1), servers[0], start);
+    policy.requestEnded(makeRequest(1), servers[0], AttemptEnd::Failed, start);
+    CHECK(policy.choose(makeRequest(2), list, start + 10ms)->id == "e1");
+    const std::set<std::string> excluded { "e1" };
+    auto request = makeRequest(3);
+    request.excluded = &excluded;
+    CHECK(policy.choose(request, list, start + 10ms)->id == "e0");
+}
+
+TEST_CASE("short work has the higher priority at the engine")
+{
+    const ProductPolicy policy(1);
+    CHECK(policy.enginePriority(makeRequest(1)) == 11);
+    CHECK(policy.enginePriority(makeRequest(1, WorkClass::Long)) == 10);
+}
+
+struct NameCase {
+    const char* name;
+    bool isKnown;
+};
+
+const NameCase nameCases[] = {
+    { "product", true },
+    { "round-robin", true },
+    { "least-outstanding", true },
+    { "least-reported-load", true },
+    { "", false },
+    { "other", false },
+};
+
+TEST_CASE("policies are made by their names")
+{
+    for (const auto& row : nameCases) {
+        CAPTURE(row.name);
+        CHECK((makeRoutingPolicy(row.name) != nullptr) == row.isKnown);
+    }
+}
+
+} // namespace
