--- a/src/libprimrosefork/silentservers.cpp
+++ b/src/libprimrosefork/silentservers.cpp
@@ -40,4 +40,12 @@
     return found != this->silences.end() && now < found->second.avoidUntil;
 }
 
+auto SilentServers::addSilent(std::set<std::string>& ids, TimePoint now) const -> void
+{
+    for (const auto& [id, silence] : this->silences) {
+        if (now < silence.avoidUntil)
+            ids.insert(id);
+    }
+}
+
 } // namespace Primrosefork
--- a/src/libprimrosefork/silentservers.h
+++ b/src/libprimrosefork/silentservers.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 
 namespace Primrosefork {
@@ -29,6 +30,9 @@
     /** Returns whether new streams keep away from server \a id. */
     [[nodiscard]] auto isSilent(const std::string& id, TimePoint now) const -> bool;
 
+    /** Adds the servers that new streams keep away from to \a ids. */
+    auto addSilent(std::set<std::string>& ids, TimePoint now) const -> void;
+
 private:
     struct Silence {
         TimePoint found;
--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -1,14 +1,16 @@
 #include "modelrun.h"
 
-#include "candidates.h"
+#include "candidatecache.h"
 #include "errors.h"
 #include "eventlog.h"
 #include "hash.h"
 #include "httpserver.h"
 #include "metrics.h"
 #include "nodesettings.h"
+#include "prefixaffinity.h"
 #include "retrypolicy.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -20,7 +22,8 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t prefixBytes = 256; ///< Of the prompt, compared to find cached work.
+constexpr std::chrono::milliseconds placePeriod { 20 }; ///< Between two looks for a place at a backend server.
+constexpr std::uint64_t attemptsPerRequest = 1024; ///< So many attempts of one request are told apart.
 constexpr std::size_t streamIdBytes = 16;
 constexpr std::chrono::milliseconds serverWaitPeriod = 50ms; ///< Between two looks for a backend server when there is none.
 constexpr std::chrono::milliseconds serverWaitLimit = 10s; ///< For an answer that has not begun.
@@ -47,6 +50,13 @@
     return std::max(std::chrono::duration_cast<std::chrono::microseconds>(duration), std::chrono::microseconds(0));
 }
 
+/** Returns whether \a candidates has a server that is not among \a excluded. */
+auto hasOther(const CandidateList& candidates, const std::set<std::string>& excluded) -> bool
+{
+    const auto servers = candidates.servers();
+    return std::any_of(servers.begin(), servers.end(), [&excluded](const BackendServer* server) { return !excluded.contains(server->id); });
+}
+
 /** Returns the policy for moves to another engine; early, so that a failed move can be tried again. */
 auto enginePolicy() -> const StreamMovePolicy&
 {
@@ -77,6 +87,7 @@
     , streamId(streamIdOf(this->request))
     , nextOffset(this->request.offset)
     , text(this->request.delivered)
+    , prefixBlocks(Primrosefork::prefixBlocks(this->request.prompt))
 {
 }
 
@@ -122,43 +133,63 @@
     result.workClass = this->request.route.workClass;
     result.promptTokens = estimateTokens(this->request.prompt);
     result.expectedTokens = std::max<std::int64_t>(1, this->request.maxTokens - this->nextOffset);
-    result.prefixHash = hash64(std::string_view(this->request.prompt).substr(0, prefixBytes));
+    result.prefixHash = this->prefixBlocks.empty() ? 0 : this->prefixBlocks.front();
+    result.prefixBlocks = this->prefixBlocks;
+    result.waited = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - this->request.received);
     result.priority = this->request.service.parameters.priority;
     result.zone = this->context.settings.zone;
     return result;
 }
 
-auto ModelRun::chooseServer() -> const BackendServer*
+auto ModelRun::retryRequest(int failedAttempts) const -> RetryRequest
+{
+    return { failedAttempts, this->request.deadline, this->nextOffset > this->request.offset };
+}
+
+auto ModelRun::runningServers() const -> std::set<std::string>
 {
     std::set<std::string> running;
     for (const auto& attempt : { this->first, this->second }) {
         if (attempt)
             running.insert(attempt->backendServer().id);
     }
-    auto excluded = this->failedServers;
-    excluded.insert(running.begin(), running.end());
-    auto candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, excluded);
-    if (candidates.empty() && !this->failedServers.empty()) {
-        this->failedServers.clear();
-        candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Model, running);
-    }
+    return running;
+}
+
+auto ModelRun::chooseServer() -> const BackendServer*
+{
     const auto now = EventLoop::now();
-    auto speaking = candidates;
-    std::erase_if(speaking, [this, now](const BackendServer* server) { return this->silentServers.isSilent(server->id, now); });
-    const auto* server = this->context.routing.choose(this->routingRequest(), speaking.empty() ? candidates : speaking, now);
-    if (server)
-        this->silentServers.tried(server->id, now);
-    return server;
+    const auto& candidates = this->context.candidates.find(this->request.service, RouteKind::Model);
+    const auto running = this->runningServers();
+    auto failed = this->failedServers;
+    failed.insert(running.begin(), running.end());
+    auto unwanted = failed;
+    this->silentServers.addSilent(unwanted, now);
+
+    // From the best servers to all but those that run the stream already.
+    for (const std::set<std::string>* excluded : std::initializer_list<const std::set<std::string>*> { &unwanted, &failed, &running }) {
+        if (!hasOther(candidates, *excluded))
+            continue;
+        auto asked = this->routingRequest();
+        asked.excluded = excluded;
+        const auto* server = this->context.routing.choose(asked, candidates, now);
+        if (server)
+            this->silentServers.tried(server->id, now);
+        return server;
+    }
+    return nullptr;
 }
 
 auto ModelRun::startAttempt(const BackendServer& server, const Address& importFrom) -> std::shared_ptr<StreamAttempt>
 {
-    const auto attempt = std::make_shared<StreamAttempt>(this->context, this->routingRequest(), server);
+    auto asked = this->routingRequest();
+    asked.id = this->request.id * attemptsPerRequest + static_cast<std::uint64_t>(this->attempts) % attemptsPerRequest;
+    const auto attempt = std::make_shared<StreamAttempt>(this->context, asked, server);
     const auto isRepeated = this->attempts++ > 0 || this->request.offset > 0;
     StreamAttemptHandlers handlers;
     handlers.onReady = [this](StreamAttempt& ready) { this->tokensReady(ready); };
     handlers.onEnd = [this](StreamAttempt& ended, std::error_code error) { this->attemptEnded(ended, error); };
-    attempt->begin({ this->streamId, this->request.prompt, this->request.maxTokens, this->request.service.parameters.priority,
+    attempt->begin({ this->streamId, this->request.prompt, this->request.maxTokens, this->context.routing.enginePriority(asked),
                        this->nextOffset, this->text, importFrom },
         isRepeated, std::move(handlers));
     return attempt;
@@ -179,6 +210,9 @@
 
 auto ModelRun::waitForServer() -> void
 {
+    const auto hasServers = !this->context.candidates.find(this->request.service, RouteKind::Model).servers().empty();
+    if (hasServers)
+        return this->retryTimer.start(placePeriod);
     const auto waited = EventLoop::now() - this->request.received;
     if (!this->exchange->isStreaming() && waited > serverWaitLimit)
         return this->giveUp(Error::Unavailable);
@@ -303,7 +337,7 @@
     this->silenceTimer.stop();
     this->moveTimer.stop();
     ++this->failuresInRow;
-    const auto delay = this->context.retries.retryDelay(this->failuresInRow, EventLoop::now());
+    const auto delay = this->context.retries.retryDelay(this->retryRequest(this->failuresInRow), EventLoop::now());
     if (delay)
         return this->retryTimer.start(*delay);
     // An answer that has begun is worth waiting for the budget.
@@ -339,7 +373,7 @@
         return this->watchSilence();
     if (awaited.pace().isSilent(EventLoop::now()))
         this->silentServers.fellSilent(awaited.backendServer().id, EventLoop::now());
-    if (!this->context.retries.retryDelay(this->failuresInRow + 1, EventLoop::now()))
+    if (!this->context.retries.retryDelay(this->retryRequest(this->failuresInRow + 1), EventLoop::now()))
         return this->watchSilence();
     if (this->second)
         this->promoteSecond(AttemptEnd::Stalled);
--- a/src/node/modelrun.h
+++ b/src/node/modelrun.h
@@ -4,6 +4,7 @@
 #include "eventloop.h"
 #include "requestcontext.h"
 #include "requestrun.h"
+#include "retrypolicy.h"
 #include "routingpolicy.h"
 #include "silentservers.h"
 #include "streamattempt.h"
@@ -13,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Primrosefork {
 
@@ -74,6 +76,8 @@
     auto refuse(const Refusal&) -> void;
     auto end() -> void;
     [[nodiscard]] auto routingRequest() const -> RoutingRequest;
+    [[nodiscard]] auto retryRequest(int failedAttempts) const -> RetryRequest;
+    [[nodiscard]] auto runningServers() const -> std::set<std::string>;
 
     RequestContext context;
     SilentServers& silentServers;
@@ -92,6 +96,7 @@
     std::shared_ptr<StreamAttempt> second; ///< Its first token ends the first attempt.
     SecondReason secondReason = SecondReason::Silence;
     std::set<std::string> failedServers;
+    std::vector<std::uint64_t> prefixBlocks; ///< Of the prompt.
     std::optional<EventLoop::TimePoint> engineNoticed; ///< When the reclaim of the first attempt's engine was seen.
     std::optional<EventLoop::TimePoint> nodeNoticed;
     int attempts = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,8 @@
 #include "node.h"
 
+#include "hash.h"
+
+#include <algorithm>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -8,7 +11,16 @@
 
 namespace {
 
-constexpr int maxAttempts = 4;
+/** Returns the slots of all live engines and how many nodes share them. */
+auto capacityOf(const BackendServers& servers, std::size_t nodes) -> AdmissionCapacity
+{
+    AdmissionCapacity capacity { 0, nodes };
+    for (const auto& [id, server] : servers) {
+        if (server.kind == BackendKind::Engine && server.state == InstanceState::Live)
+            capacity.slots += server.slots;
+    }
+    return capacity;
+}
 
 } // namespace
 
@@ -22,8 +34,8 @@
     , cloudApi(this->httpClient, this->settings.cloudApi, this->settings.timeouts.store)
     , engines(this->httpClient, this->settings.timeouts.store)
     , plainServices(this->httpClient)
-    , routing(makeRoutingPolicy(this->settings.routingPolicy))
-    , retries(maxAttempts)
+    , routing(makeRoutingPolicy(this->settings.routingPolicy, hash64(this->settings.id)))
+    , retries(hash64(this->settings.id))
     , admission(static_cast<std::size_t>(this->settings.limits.openRequests))
     , claims(loop, this->store, this->settings, this->metrics, this->log)
     , configuration(loop, this->store, this->blackboard, this->log, { .watch = this->settings.timeouts.watch })
@@ -33,7 +45,7 @@
     , notices(loop, this->cloudApi, this->blackboard, this->log, this->settings.timeouts.noticePoll)
     , membership(loop, this->settings, this->blackboard, this->log, this->metrics)
     , configurationFetcher(loop, this->settings, this->blackboard, this->configuration, this->membership, this->log)
-    , requests({ loop, this->settings, this->blackboard, *this->routing, this->retries, this->engines, this->plainServices, this->metrics, this->log, this->claims }, this->admission)
+    , requests({ loop, this->settings, this->blackboard, this->candidates, *this->routing, this->retries, this->engines, this->plainServices, this->metrics, this->log, this->claims }, this->admission)
     , lifecycle(loop, this->blackboard, this->log, this->settings.timeouts.drain, [this] { return this->callerServer.openCount() + this->claims.heldCount(); })
     , callerServer(loop, this->settings, this->requests, this->lifecycle)
     , administration(this->settings, this->blackboard, this->configurationWriter, this->metrics, this->log)
@@ -58,6 +70,10 @@
         [this](const StoreEntry& entry) { this->configuration.putInForce(entry); });
     this->blackboard.loadReports.changed.connect(
         [this](const LoadReports& reports) { this->routing->loadReported(reports, EventLoop::now()); });
+    const auto nodes = std::max<std::size_t>(1, this->settings.peerSeeds.size());
+    this->routing->setNodeCount(nodes);
+    this->blackboard.backendServers.changed.connect(
+        [this, nodes](const BackendServers& servers) { this->admission.setCapacity(capacityOf(servers, nodes), EventLoop::now()); });
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
         const auto own = current.find(this->settings.id);
         if (own != current.end())
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,15 +1,17 @@
 #pragma once
 
 #include "administrationapi.h"
-#include "admissionpolicy.h"
 #include "backendcontroller.h"
 #include "blackboard.h"
+#include "budgetretrypolicy.h"
 #include "callerserver.h"
+#include "candidatecache.h"
 #include "configurationcontroller.h"
 #include "configurationfetcher.h"
 #include "configurationwriter.h"
 #include "eventlog.h"
 #include "eventloop.h"
+#include "fairadmissionpolicy.h"
 #include "httpclient.h"
 #include "httpcloudapi.h"
 #include "httpengines.h"
@@ -24,7 +26,6 @@
 #include "operatorserver.h"
 #include "plainservice.h"
 #include "requestcontroller.h"
-#include "retrypolicy.h"
 #include "routingpolicy.h"
 #include "storeclaimkeeper.h"
 
@@ -61,6 +62,7 @@
     EventLog log;
     Metrics metrics;
     Blackboard blackboard;
+    CandidateCache candidates { this->blackboard }; ///< Before all controllers, so that it hears of changes first.
     HttpClient httpClient;
     HttpKeyValueStore store;
     HttpInstanceList instanceList;
@@ -68,8 +70,8 @@
     HttpEngines engines;
     HttpPlainServices plainServices;
     std::unique_ptr<RoutingPolicy> routing;
-    FixedRetryPolicy retries;
-    CountAdmissionPolicy admission;
+    BudgetRetryPolicy retries;
+    FairAdmissionPolicy admission;
     StoreClaimKeeper claims;
     ConfigurationController configuration;
     ConfigurationWriter configurationWriter;
--- a/src/node/plainrun.cpp
+++ b/src/node/plainrun.cpp
@@ -1,6 +1,6 @@
 #include "plainrun.h"
 
-#include "candidates.h"
+#include "candidatecache.h"
 #include "claimrecord.h"
 #include "errors.h"
 #include "eventlog.h"
@@ -120,6 +120,7 @@
     result.workClass = this->request.route.workClass;
     result.priority = this->request.service.parameters.priority;
     result.zone = this->context.settings.zone;
+    result.excluded = &this->failedServers;
     return result;
 }
 
@@ -146,7 +147,7 @@
     // The process may have been paused since the claim was granted.
     if (now >= this->request.deadline)
         return this->giveUp(Error::Timeout);
-    const auto candidates = findCandidates(this->context.blackboard, this->request.service, RouteKind::Plain, this->failedServers);
+    const auto& candidates = this->context.candidates.find(this->request.service, RouteKind::Plain);
     const auto* chosen = this->context.routing.choose(this->routingRequest(), candidates, now);
     if (!chosen)
         return this->giveUp(Error::Unavailable);
@@ -172,7 +173,7 @@
     this->failedServers.insert(this->server.id);
     this->context.log.write(Event::AttemptFailed, { { "backend_server", this->server.id }, { "error", result.error.message() } });
     const auto mayRepeat = this->request.route.isIdempotent || this->execution == Execution::NotRun;
-    const auto delay = mayRepeat ? this->context.retries.retryDelay(this->attempts, now) : std::nullopt;
+    const auto delay = mayRepeat ? this->context.retries.retryDelay({ this->attempts, this->request.deadline, false }, now) : std::nullopt;
     if (!delay)
         return this->giveUp(result.error);
     this->retryTimer.start(*delay);
--- a/src/node/requestcontext.h
+++ b/src/node/requestcontext.h
@@ -4,6 +4,7 @@
 
 class AdmissionPolicy;
 class Blackboard;
+class CandidateCache;
 class ClaimKeeper;
 class Engines;
 class EventLog;
@@ -21,6 +22,7 @@
     EventLoop& loop;
     const NodeSettings& settings;
     const Blackboard& blackboard;
+    CandidateCache& candidates;
     RoutingPolicy& routing;
     RetryPolicy& retries;
     Engines& engines;
