--- a/src/measure/fuzz/peerfuzzer.cpp
+++ b/src/measure/fuzz/peerfuzzer.cpp
@@ -14,6 +14,7 @@
 const Address recipientAddress { "127.0.0.2", 8082 };
 constexpr auto wallTime = std::chrono::milliseconds(1'700'000'000'000);
 constexpr std::size_t idsInUse = 64;
+constexpr std::uint64_t inputsPerRecipient = 500;
 const std::string nonce(32, 'f');
 
 auto makeSelf() -> Peer
@@ -44,7 +45,9 @@
 {
     constexpr std::size_t kinds = 8;
     for (std::uint64_t count = 0; count < inputs; ++count) {
-        ++this->totals.inputs;
+        // A changed sequence shuts later messages of its sender out.
+        if (++this->totals.inputs % inputsPerRecipient == 0)
+            this->recipient = PeerCodec(recipientAddress, 1, keys);
         const auto kind = this->number(kinds);
         if (kind == 0) {
             const auto text = this->randomText(PeerLimits::datagramBytes + 1);
