--- a/src/measure/capacity/main.cpp
+++ b/src/measure/capacity/main.cpp
@@ -104,6 +104,7 @@
 {
     constexpr std::size_t fewestPoints = 3;
     std::vector<Point> points;
+    points.reserve(results.size());
     for (const auto& result : results)
         points.push_back({ scale(result.size), value(result) });
     if (points.size() < fewestPoints)
--- a/src/peer/configurationexchange.h
+++ b/src/peer/configurationexchange.h
@@ -2,6 +2,7 @@
 
 #include "keyvaluestore.h"
 #include "peerkeyring.h"
+#include "units.h"
 
 #include <chrono>
 #include <cstddef>
@@ -29,11 +30,11 @@
 /** Limits on the exchange of configurations. */
 namespace ExchangeLimits {
 constexpr std::size_t requestBytes = 512;
-constexpr std::size_t answerBytes = 8 * 1024 * 1024;
+constexpr std::size_t answerBytes = 8 * mebibyte;
 constexpr std::size_t nonceBytes = 32;
 constexpr std::size_t senderBytes = 64;
 constexpr std::size_t keyBytes = 512;
-constexpr std::size_t valueBytes = 1024 * 1024;
+constexpr std::size_t valueBytes = mebibyte;
 constexpr std::size_t records = 4'096;
 } // namespace ExchangeLimits
 
