--- a/src/measure/capacity/fleet.cpp
+++ b/src/measure/capacity/fleet.cpp
@@ -33,6 +33,7 @@
     Testkit::ClusterOptions result;
     result.nodes = options.nodes;
     result.engines = options.engines;
+    result.plainServices = options.plainServices;
     result.hasPeers = true;
     return result;
 }
--- a/src/measure/capacity/fleet.h
+++ b/src/measure/capacity/fleet.h
@@ -42,6 +42,7 @@
 struct FleetOptions {
     std::size_t nodes = 8;
     std::size_t engines = 3;
+    std::size_t plainServices = 2;
 };
 
 /**
--- a/src/measure/capacity/main.cpp
+++ b/src/measure/capacity/main.cpp
@@ -17,6 +17,7 @@
 
 DEFINE_string(nodes, "8,32,100,200", "Numbers of nodes to measure, one after the other.");
 DEFINE_string(engines, "12,100,500,1500", "Numbers of engines in the instance list to measure, with --engine_nodes nodes.");
+DEFINE_string(plain_services, "12,300,800", "Numbers of plain services in the instance list, which nobody polls, to measure with --engine_nodes nodes.");
 DEFINE_int32(engine_nodes, 8, "Nodes while the number of engines changes.");
 DEFINE_int32(seconds, 15, "Length of each measured phase.");
 DEFINE_int32(settle_seconds, 15, "Between the start of a fleet and the first phase.");
@@ -151,6 +152,16 @@
     printFits(results, designEngines);
 }
 
+auto measurePlainServices() -> void
+{
+    std::printf("\nslopes over the number of plain services, with %d nodes\n", FLAGS_engine_nodes);
+    printHeading("plain");
+    std::vector<FleetResult> results;
+    for (const auto services : readSizes(FLAGS_plain_services))
+        results.push_back(measureFleet(static_cast<double>(services), { .nodes = static_cast<std::size_t>(FLAGS_engine_nodes), .plainServices = services }));
+    printFits(results, designEngines);
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -164,6 +175,8 @@
             measureNodes();
         if (!FLAGS_engines.empty())
             measureEngines();
+        if (!FLAGS_plain_services.empty())
+            measurePlainServices();
     } catch (const std::exception& error) {
         std::cerr << error.what() << "\n";
         return EXIT_FAILURE;
