--- a/tests/subset/test_backendsubset.cpp
+++ b/tests/subset/test_backendsubset.cpp
@@ -174,9 +174,10 @@
     const auto servers = makeServers(1'500, 16);
     const auto narrow = selectAll(nodes, servers);
     const auto wide = selectAll(nodes, servers, 1);
-    for (const auto& [id, subset] : narrow) {
+    for (const auto& entry : narrow) {
+        const auto& id = entry.first;
         CAPTURE(id);
-        CHECK(std::includes(wide.at(id).begin(), wide.at(id).end(), subset.begin(), subset.end()));
+        CHECK(std::includes(wide.at(id).begin(), wide.at(id).end(), entry.second.begin(), entry.second.end()));
     }
     CHECK(evennessOf(nodes, servers, wide).fewestNodes == 20);
     const auto widest = BackendSubset().select("node-0", nodes, servers, 6);
