--- a/src/cli/apiclient.cpp
+++ b/src/cli/apiclient.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+auto ApiAnswer::body() const -> Json
+{
+    return Json::parse(this->text, nullptr, false);
+}
+
 auto ApiAnswer::exitCode() const -> ExitCode
 {
     if (this->error == Error::ConnectionFailed || (this->error && this->writeId.empty()))
@@ -32,7 +37,8 @@
     default:
         break;
     }
-    const auto isUnknown = this->body.is_object() && this->body.value("outcome", "") == "unknown";
+    const auto body = this->body();
+    const auto isUnknown = body.is_object() && body.value("outcome", "") == "unknown";
     return isUnknown ? ExitCode::Unknown : ExitCode::Failed;
 }
 
@@ -77,7 +83,7 @@
     this->client.fetch(this->line.node, request, options, [this, &answer](std::error_code error, const HttpResponse& response) {
         answer.error = error;
         answer.status = response.status;
-        answer.body = Json::parse(response.body, nullptr, false);
+        answer.text = response.body;
         this->loop.stop();
     });
     this->loop.run();
--- a/src/cli/apiclient.h
+++ b/src/cli/apiclient.h
@@ -15,11 +15,14 @@
 struct ApiAnswer {
     std::error_code error; ///< Set when there is no answer.
     int status = 0;
-    nlohmann::json body;
+    std::string text;
     std::string writeId; ///< Of a change.
 
     [[nodiscard]] auto isOk() const -> bool { return !this->error && this->status == HttpStatus::ok; }
 
+    /** Returns the text as JSON. */
+    [[nodiscard]] auto body() const -> nlohmann::json;
+
     /** Returns the exit code that the answer stands for. */
     [[nodiscard]] auto exitCode() const -> ExitCode;
 };
--- a/src/cli/backendcommands.cpp
+++ b/src/cli/backendcommands.cpp
@@ -51,7 +51,7 @@
         answer = client.get("services/" + service);
         if (!answer.isOk())
             return answer;
-        const Json body { { "base_revision", answer.body["revision"] }, { "backend_server", id } };
+        const Json body { { "base_revision", answer.body()["revision"] }, { "backend_server", id } };
         answer = client.change("POST", "services/" + service + (isDrained ? "/drain" : "/undrain"), body);
         if (answer.error || answer.status != HttpStatus::conflict)
             return answer;
@@ -72,7 +72,7 @@
         return answer.exitCode();
     }
     std::vector<std::vector<std::string>> rows;
-    for (const auto& server : answer.body.value("backend_servers", Json::array())) {
+    for (const auto& server : answer.body().value("backend_servers", Json::array())) {
         const auto state = server.value("reclaim_noticed", false) ? "reclaim noticed" : textOf(server, "state");
         rows.push_back({ textOf(server, "id"), textOf(server, "kind"), textOf(server, "zone"), textOf(server, "pool"), textOf(server, "model"),
             textOf(server, "version"), state, joined(server.value("drained_by", Json::array())) });
@@ -94,7 +94,7 @@
         printFailure(listing);
         return listing.exitCode();
     }
-    const auto server = findServer(listing.body, id);
+    const auto server = findServer(listing.body(), id);
     if (server.is_null()) {
         printError("the node knows no backend server " + id);
         return ExitCode::Failed;
--- a/src/cli/nodecommands.cpp
+++ b/src/cli/nodecommands.cpp
@@ -16,7 +16,7 @@
         return answer.exitCode();
     }
     std::vector<std::vector<std::string>> rows;
-    for (const auto& node : answer.body.value("nodes", nlohmann::json::array()))
+    for (const auto& node : answer.body().value("nodes", nlohmann::json::array()))
         rows.push_back({ textOf(node, "id"), textOf(node, "zone"), textOf(node, "lifecycle"), textOf(node, "store_revision"), textOf(node, "digest") });
     printTable({ "ID", "ZONE", "LIFECYCLE", "STORE REVISION", "CONFIGURATION" }, rows);
     return ExitCode::Success;
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -33,7 +33,7 @@
 
 auto printAnswerError(const ApiAnswer& answer) -> void
 {
-    const auto& body = answer.body;
+    const auto body = answer.body();
     if (!body.is_object())
         return printError("the node answered with status " + std::to_string(answer.status));
     if (answer.status == HttpStatus::conflict)
@@ -89,7 +89,7 @@
         printFailure(answer);
         return answer.exitCode();
     }
-    std::cout << "accepted: revision " << textOf(answer.body, "revision") << " of " << textOf(answer.body, "key") << "\n";
+    std::cout << "accepted: revision " << textOf(answer.body(), "revision") << " of " << textOf(answer.body(), "key") << "\n";
     return ExitCode::Success;
 }
 
@@ -102,7 +102,7 @@
         body["outcome"] = answer.exitCode() == ExitCode::Unknown ? "unknown" : "not accepted";
         std::cout << body.dump(2) << "\n";
     } else {
-        std::cout << answer.body.dump(2) << "\n";
+        std::cout << answer.body().dump(2) << "\n";
     }
     return answer.exitCode();
 }
--- a/src/cli/recordcommands.cpp
+++ b/src/cli/recordcommands.cpp
@@ -46,7 +46,7 @@
         return answer.exitCode();
     }
     std::vector<std::vector<std::string>> rows;
-    for (const auto& record : answer.body.value(this->kind, Json::array()))
+    for (const auto& record : answer.body().value(this->kind, Json::array()))
         rows.push_back({ textOf(record, "name"), textOf(record, "template"), textOf(record, "revision"), textOf(record, "author"), timeOf(record, "time_ms") });
     printTable({ "NAME", "TEMPLATE", "REVISION", "AUTHOR", "TIME" }, rows);
     return ExitCode::Success;
@@ -64,11 +64,11 @@
         printFailure(answer);
         return answer.exitCode();
     }
-    std::cout << textOf(answer.body, "name") << ", revision " << textOf(answer.body, "revision") << " by " << textOf(answer.body, "author")
-              << " of " << timeOf(answer.body, "time_ms") << "\n";
-    if (answer.body.contains("template"))
-        std::cout << "template: " << textOf(answer.body, "template") << "\n";
-    std::cout << answer.body["content"].dump(2) << "\n";
+    std::cout << textOf(answer.body(), "name") << ", revision " << textOf(answer.body(), "revision") << " by " << textOf(answer.body(), "author")
+              << " of " << timeOf(answer.body(), "time_ms") << "\n";
+    if (answer.body().contains("template"))
+        std::cout << "template: " << textOf(answer.body(), "template") << "\n";
+    std::cout << answer.body()["content"].dump(2) << "\n";
     return ExitCode::Success;
 }
 
@@ -85,7 +85,7 @@
         return answer.exitCode();
     }
     std::vector<std::vector<std::string>> rows;
-    for (const auto& version : answer.body.value("versions", Json::array())) {
+    for (const auto& version : answer.body().value("versions", Json::array())) {
         const auto content = version.value("deleted", false) ? "deleted" : version["content"].dump();
         rows.push_back({ textOf(version, "revision"), textOf(version, "author"), timeOf(version, "time_ms"), content });
     }
--- a/src/cli/servicecommands.cpp
+++ b/src/cli/servicecommands.cpp
@@ -69,14 +69,14 @@
         printFailure(shown);
         return shown.exitCode();
     }
-    auto content = shown.body["content"];
+    auto content = shown.body()["content"];
     for (std::size_t index = 1; index < line.arguments.size(); ++index) {
         if (!assign(content, line.arguments[index])) {
             printError("expected name=value instead of " + line.arguments[index]);
             return ExitCode::Usage;
         }
     }
-    const auto base = line.baseRevision.value_or(shown.body["revision"].get<std::uint64_t>());
+    const auto base = line.baseRevision.value_or(shown.body()["revision"].get<std::uint64_t>());
     return printChange(line, client.change("PUT", path, { { "base_revision", base }, { "content", content } }));
 }
 
