Configuration: Made two changes that clash meet in the test

Without the second look the test with ten rounds passed in a trial: the store answered so fast that the changes followed one another. The store now answers after 100 ms, so that both are checked before one is written; five rounds.

--- a/tests/configuration/test_inforce.cpp
+++ b/tests/configuration/test_inforce.cpp
@@ -154,7 +154,7 @@
 
 TEST_CASE("a template and a service that clash are not both accepted")
 {
-    constexpr int rounds = 10;
+    constexpr int rounds = 5;
     const std::string templatePath = "/admin/v1/templates/holds";
     const std::string servicePath = "/admin/v1/services/jadeleaf/app";
     const auto plainRoutes = Json::parse(R"({"routes": [{"path": "hold", "kind": "plain", "idempotent": false}]})");
@@ -167,6 +167,8 @@
     const Json service { { "workspace", "jadeleaf" }, { "name", "app" }, { "template", "holds" }, { "content", withModels } };
     REQUIRE(cluster.client().post(cluster.operators(0), "/admin/v1/services", service.dump(), { operatorHeader() }).response.status == HttpStatus::ok);
 
+    // With answers this late both changes have been checked before one of them is written.
+    cluster.control(cluster.keyValueService(), { { "delay_ms", 100 } });
     for (int round = 0; round < rounds; ++round) {
         CAPTURE(round);
         int templateStatus = 0;
