--- a/src/libprimrosefork/fairadmissionpolicy.cpp
+++ b/src/libprimrosefork/fairadmissionpolicy.cpp
@@ -130,7 +130,7 @@
     return true;
 }
 
-auto FairAdmissionPolicy::remove(WorkspaceState& workspace, Queue& queue, Queue::iterator place) -> Queue::iterator
+auto FairAdmissionPolicy::remove(WorkspaceState& workspace, Queue& queue, const Queue::iterator& place) -> Queue::iterator
 {
     workspace.queuedTokens -= place->tokens;
     --this->waiting;
@@ -187,7 +187,7 @@
     const auto found = this->runs.find(id);
     if (found == this->runs.end())
         return {};
-    const auto run = found->second;
+    auto run = found->second;
     this->runs.erase(found);
     if (!run.hasPlace)
         return run;
@@ -251,7 +251,7 @@
     return true;
 }
 
-auto FairAdmissionPolicy::nextWorkspace(Queue WorkspaceState::* queue) -> WorkspaceState*
+auto FairAdmissionPolicy::nextWorkspace(Queue WorkspaceState::*queue) -> WorkspaceState*
 {
     WorkspaceState* next = nullptr;
     const auto reserved = std::max<std::size_t>(1, this->placeCount() / reservedDivisor);
@@ -275,7 +275,7 @@
     return static_cast<double>(workspace.running) < static_cast<double>(this->placeCount()) * workspace.weight / weights;
 }
 
-auto FairAdmissionPolicy::admitFrom(WorkspaceState& workspace, Queue WorkspaceState::* queue, TimePoint now) -> void
+auto FairAdmissionPolicy::admitFrom(WorkspaceState& workspace, Queue WorkspaceState::*queue, TimePoint now) -> void
 {
     const auto request = (workspace.*queue).front();
     this->remove(workspace, workspace.*queue, (workspace.*queue).begin());
--- a/src/libprimrosefork/fairadmissionpolicy.h
+++ b/src/libprimrosefork/fairadmissionpolicy.h
@@ -75,14 +75,14 @@
     auto enqueue(const AdmissionRequest&, WorkspaceState&) -> void;
     auto makeRoom(const AdmissionRequest&) -> bool;
     auto admitNext(TimePoint now) -> bool;
-    auto admitFrom(WorkspaceState&, Queue WorkspaceState::* queue, TimePoint now) -> void;
+    auto admitFrom(WorkspaceState&, Queue WorkspaceState::*queue, TimePoint now) -> void;
     auto start(const AdmissionRequest&, bool hasPlace, TimePoint now) -> void;
     auto release(std::uint64_t id) -> Running;
     auto measureRate(std::int64_t tokens, TimePoint now) -> void;
     auto dropLate(TimePoint now) -> void;
     auto forgetIdle(TimePoint now) -> void;
-    auto remove(WorkspaceState&, Queue&, Queue::iterator) -> Queue::iterator;
-    [[nodiscard]] auto nextWorkspace(Queue WorkspaceState::* queue) -> WorkspaceState*;
+    auto remove(WorkspaceState&, Queue&, const Queue::iterator&) -> Queue::iterator;
+    [[nodiscard]] auto nextWorkspace(Queue WorkspaceState::*queue) -> WorkspaceState*;
     [[nodiscard]] auto mayUseLastPlaces(const WorkspaceState&) const -> bool;
     [[nodiscard]] auto expectedWait(const AdmissionRequest&, const WorkspaceState&) const -> std::chrono::milliseconds;
     [[nodiscard]] auto longPlaces() const -> std::size_t;
--- a/src/libprimrosefork/productpolicy.cpp
+++ b/src/libprimrosefork/productpolicy.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t sampledServers = 8;
 constexpr std::size_t maxPreferred = 16;
 constexpr double prefillTokensPerMillisecond = 8;
-constexpr double recomputeWeight = 1.5; ///< Price of a prompt token computed again, in time of its prefill.
+constexpr double recomputeWeight = 3; ///< Price of a prompt token computed again, in time of its prefill.
 constexpr Cost fullServer { 500 }; ///< For each request before the next free slot.
 constexpr Cost filledServer { 120 }; ///< For the last slot; earlier ones by the square of their part.
 constexpr double peersAlike = 0.7; ///< Of what this node has open, what each other node is thought to have at least.
--- a/src/libprimrosefork/slowdowndetector.cpp
+++ b/src/libprimrosefork/slowdowndetector.cpp
@@ -20,6 +20,7 @@
 constexpr auto firstAvoidance = 1000ms; ///< After a failure; doubles with each further one.
 constexpr auto longestAvoidance = 30'000ms;
 constexpr int maxDoublings = 5;
+constexpr auto memory = 10min; ///< A server that showed nothing for so long is forgotten.
 
 auto groupOf(const BackendServer& server) -> std::string
 {
@@ -28,13 +29,20 @@
 
 } // namespace
 
-auto SlowdownDetector::observe(const BackendServer& server, std::chrono::microseconds duration, TimePoint now) -> void
+auto SlowdownDetector::recordOf(const BackendServer& server, TimePoint now) -> Record&
 {
     auto& record = this->records[server.id];
     if (record.group.empty()) {
         record.group = groupOf(server);
         this->groups[record.group].members.push_back(server.id);
     }
+    record.lastSeen = now;
+    return record;
+}
+
+auto SlowdownDetector::observe(const BackendServer& server, std::chrono::microseconds duration, TimePoint now) -> void
+{
+    auto& record = this->recordOf(server, now);
     const auto time = static_cast<double>(duration.count());
     if (record.samples == 0)
         record.smoothed = time;
@@ -49,16 +57,18 @@
 
 auto SlowdownDetector::failed(const BackendServer& server, TimePoint now) -> void
 {
-    auto& record = this->records[server.id];
+    auto& record = this->recordOf(server, now);
     const auto doublings = std::min(record.failures++, maxDoublings);
     record.avoidUntil = now + std::min<std::chrono::milliseconds>(firstAvoidance * (1 << doublings), longestAvoidance);
 }
 
 auto SlowdownDetector::succeeded(const BackendServer& server) -> void
 {
-    auto& record = this->records[server.id];
-    record.failures = 0;
-    record.avoidUntil = {};
+    const auto found = this->records.find(server.id);
+    if (found == this->records.end())
+        return;
+    found->second.failures = 0;
+    found->second.avoidUntil = {};
 }
 
 auto SlowdownDetector::slowness(const BackendServer& server) const -> double
@@ -89,6 +99,12 @@
 auto SlowdownDetector::review(Group& group, TimePoint now) -> void
 {
     group.nextReview = now + reviewPeriod;
+    std::erase_if(group.members, [this, now](const std::string& id) {
+        if (now - this->records[id].lastSeen <= memory)
+            return false;
+        this->records.erase(id);
+        return true;
+    });
     std::vector<Record*> peers;
     for (const auto& id : group.members) {
         auto& record = this->records[id];
--- a/src/libprimrosefork/slowdowndetector.h
+++ b/src/libprimrosefork/slowdowndetector.h
@@ -50,6 +50,7 @@
         std::size_t samples = 0;
         double slowness = 1;
         TimePoint lastSample;
+        TimePoint lastSeen; ///< With a time or a failure.
         TimePoint nextProbe;
         std::chrono::milliseconds probeInterval { 0 };
         int failures = 0; ///< One after the other.
@@ -62,6 +63,7 @@
         TimePoint nextReview;
     };
 
+    auto recordOf(const BackendServer&, TimePoint now) -> Record&;
     auto review(Group&, TimePoint now) -> void;
     auto setSlowness(Record&, double slowness, TimePoint now) -> void;
     [[nodiscard]] auto find(const BackendServer&) const -> const Record*;
--- a/tests/admission/test_fairadmissionpolicy.cpp
+++ b/tests/admission/test_fairadmissionpolicy.cpp
@@ -135,55 +135,87 @@
     TimePoint sent;
 };
 
-/** Runs \a streams through a policy for a minute, in steps of a millisecond. */
-auto simulate(const std::vector<Stream>& streams, std::int64_t slots) -> Simulation
-{
-    constexpr auto length = 60'000ms;
-    FairAdmissionPolicy policy(maxOpen);
-    policy.setCapacity({ slots, 1 }, start);
-    std::mt19937_64 random(3);
-    Simulation simulation;
-    simulation.results.resize(streams.size());
-    std::map<std::uint64_t, OpenRequest> open;
-    std::multimap<TimePoint, std::uint64_t> ends;
-    std::uint64_t nextId = 1;
-    double busy = 0;
-    for (auto now = start; now < start + length; now += 1ms) {
-        while (!ends.empty() && ends.begin()->first <= now) {
-            policy.ended(ends.begin()->second, 100, now);
-            ends.erase(ends.begin());
+/** Runs streams of work through a policy for a minute, in steps of a millisecond. */
+class Simulator {
+public:
+    Simulator(std::vector<Stream> streams, std::int64_t slots)
+        : streams(std::move(streams))
+        , policy(maxOpen)
+    {
+        this->policy.setCapacity({ slots, 1 }, start);
+        this->simulation.results.resize(this->streams.size());
+    }
+
+    auto run() -> Simulation
+    {
+        constexpr auto length = 60'000ms;
+        double busy = 0;
+        for (auto now = start; now < start + length; now += 1ms) {
+            this->endDue(now);
+            for (std::size_t index = 0; index < this->streams.size(); ++index)
+                this->submit(index, now);
+            for (const auto& verdict : this->policy.advance(now))
+                this->take(verdict, now);
+            busy += now >= start + warmup ? static_cast<double>(this->ends.size()) : 0;
         }
-        for (std::size_t index = 0; index < streams.size(); ++index) {
-            if (std::uniform_real_distribution<double>(0, 1)(random) >= streams[index].perSecond / 1000)
-                continue;
-            auto request = makeRequest(nextId, streams[index].workspace, now + streams[index].deadline);
-            request.workClass = streams[index].workClass;
-            request.weight = streams[index].weight;
-            request.priority = streams[index].priority;
-            open[nextId++] = { index, now };
-            ++simulation.results[index].submitted;
-            policy.submit(request, now);
+        this->simulation.busyPart = busy / static_cast<double>((length - warmup).count()) / static_cast<double>(this->policy.placeCount());
+        return this->simulation;
+    }
+
+private:
+    auto uniform(double least, double most) -> double { return std::uniform_real_distribution<double>(least, most)(this->random); }
+
+    auto endDue(TimePoint now) -> void
+    {
+        while (!this->ends.empty() && this->ends.begin()->first <= now) {
+            this->policy.ended(this->ends.begin()->second, 100, now);
+            this->ends.erase(this->ends.begin());
         }
-        for (const auto& verdict : policy.advance(now)) {
-            const auto& request = open.at(verdict.id);
-            auto& result = simulation.results[request.stream];
-            if (request.sent < start + warmup && verdict.outcome != AdmissionOutcome::Admitted)
-                continue;
-            const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.sent);
-            if (verdict.outcome != AdmissionOutcome::Admitted) {
+    }
+
+    auto submit(std::size_t index, TimePoint now) -> void
+    {
+        const auto& stream = this->streams[index];
+        if (this->uniform(0, 1) >= stream.perSecond / 1000)
+            return;
+        auto request = makeRequest(this->nextId, stream.workspace, now + stream.deadline);
+        request.workClass = stream.workClass;
+        request.weight = stream.weight;
+        request.priority = stream.priority;
+        this->open[this->nextId++] = { index, now };
+        ++this->simulation.results[index].submitted;
+        this->policy.submit(request, now);
+    }
+
+    auto take(const AdmissionVerdict& verdict, TimePoint now) -> void
+    {
+        const auto& request = this->open.at(verdict.id);
+        auto& result = this->simulation.results[request.stream];
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.sent);
+        const auto isCounted = request.sent >= start + warmup;
+        if (verdict.outcome != AdmissionOutcome::Admitted) {
+            if (isCounted)
                 result.refusals.push_back(wait);
-                continue;
-            }
-            if (request.sent >= start + warmup)
-                result.waits.push_back(wait);
-            const auto spread = std::uniform_real_distribution<double>(0.7, 1.3)(random);
-            ends.emplace(now + std::chrono::duration_cast<std::chrono::microseconds>(streams[request.stream].length * spread), verdict.id);
+            return;
         }
-        if (now >= start + warmup)
-            busy += static_cast<double>(ends.size());
+        if (isCounted)
+            result.waits.push_back(wait);
+        const auto length = this->streams[request.stream].length * this->uniform(0.7, 1.3);
+        this->ends.emplace(now + std::chrono::duration_cast<std::chrono::microseconds>(length), verdict.id);
     }
-    simulation.busyPart = busy / static_cast<double>((length - warmup).count()) / static_cast<double>(policy.placeCount());
-    return simulation;
+
+    std::vector<Stream> streams;
+    FairAdmissionPolicy policy;
+    std::mt19937_64 random { 3 };
+    Simulation simulation;
+    std::map<std::uint64_t, OpenRequest> open;
+    std::multimap<TimePoint, std::uint64_t> ends;
+    std::uint64_t nextId = 1;
+};
+
+auto simulate(const std::vector<Stream>& streams, std::int64_t slots) -> Simulation
+{
+    return Simulator(streams, slots).run();
 }
 
 constexpr std::int64_t slots = 32; ///< Gives 40 places: 40 requests of one second each a second.
--- a/tests/routing/test_productpolicy.cpp
+++ b/tests/routing/test_productpolicy.cpp
@@ -23,6 +23,7 @@
 auto makeList(const std::vector<BackendServer>& servers) -> CandidateList
 {
     std::vector<const BackendServer*> pointers;
+    pointers.reserve(servers.size());
     for (const auto& server : servers)
         pointers.push_back(&server);
     return CandidateList(pointers);
--- a/tests/routing/test_slowdowndetector.cpp
+++ b/tests/routing/test_slowdowndetector.cpp
@@ -90,6 +90,16 @@
     CHECK(slowCount(detector, servers) == 0);
 }
 
+TEST_CASE("a server that showed nothing for long is forgotten")
+{
+    SlowdownDetector detector;
+    const auto servers = makeServers(4);
+    observe(detector, servers, 1, 5, 20, start);
+    REQUIRE(detector.slowness(servers[0]) > 1);
+    detector.observe(servers[1], usualGap, start + 11min);
+    CHECK(detector.slowness(servers[0]) == 1);
+}
+
 struct ProbeCase {
     const char* name;
     std::chrono::milliseconds after; ///< The server was found slow.
