--- a/src/libprimrosefork/fairadmissionpolicy.cpp
+++ b/src/libprimrosefork/fairadmissionpolicy.cpp
@@ -130,7 +130,7 @@
     return true;
 }
 
-auto FairAdmissionPolicy::remove(WorkspaceState& workspace, Queue& queue, Queue::iterator place) -> Queue::iterator
+auto FairAdmissionPolicy::remove(WorkspaceState& workspace, Queue& queue, const Queue::iterator& place) -> Queue::iterator
 {
     workspace.queuedTokens -= place->tokens;
     --this->waiting;
@@ -187,7 +187,7 @@
     const auto found = this->runs.find(id);
     if (found == this->runs.end())
         return {};
-    const auto run = found->second;
+    auto run = found->second;
     this->runs.erase(found);
     if (!run.hasPlace)
         return run;
--- a/src/libprimrosefork/fairadmissionpolicy.h
+++ b/src/libprimrosefork/fairadmissionpolicy.h
@@ -81,7 +81,7 @@
     auto measureRate(std::int64_t tokens, TimePoint now) -> void;
     auto dropLate(TimePoint now) -> void;
     auto forgetIdle(TimePoint now) -> void;
-    auto remove(WorkspaceState&, Queue&, Queue::iterator) -> Queue::iterator;
+    auto remove(WorkspaceState&, Queue&, const Queue::iterator&) -> Queue::iterator;
     [[nodiscard]] auto nextWorkspace(Queue WorkspaceState::*queue) -> WorkspaceState*;
     [[nodiscard]] auto mayUseLastPlaces(const WorkspaceState&) const -> bool;
     [[nodiscard]] auto expectedWait(const AdmissionRequest&, const WorkspaceState&) const -> std::chrono::milliseconds;
