Claims: Looked at the deadline when the claim is granted

A trial without the look at the deadline before the send passed all tests: on waking, the node's timers came before the store's reply, so that the test with a paused process did not show the mechanism. The look now stands where the claim is granted as well, with a verdict of its own, and is tested with a held reply. Likewise the test of a caller that went away passed without the stop's wait for held calls, as the call ended within the time for the balancer; the call now takes longer than that.

--- a/src/measure/once/mixedrun.cpp
+++ b/src/measure/once/mixedrun.cpp
@@ -47,6 +47,8 @@
 {
     if (!this->cluster.start())
         return false;
+    if (!this->runOutage())
+        return false;
     while (this->made < this->requests) {
         if (!this->runBatch())
             return false;
@@ -56,6 +58,18 @@
     return true;
 }
 
+auto MixedRun::runOutage() -> bool
+{
+    this->script.begin(Fault::StoreDown);
+    std::vector<Round> rounds;
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        rounds.push_back(this->beginAsks(this->addKey(), 1));
+        this->bookings.waitFor(*rounds.back().answers.front());
+    }
+    this->finishRounds(rounds);
+    return this->recover();
+}
+
 auto MixedRun::runBatch() -> bool
 {
     const auto rounds = this->beginRounds(this->script.choose());
@@ -111,18 +125,28 @@
         if (std::find(this->keysOfBatch.begin(), this->keysOfBatch.end(), key) == this->keysOfBatch.end())
             return key;
     }
+    return this->addKey();
+}
+
+auto MixedRun::addKey() -> std::size_t
+{
     const auto key = this->keys.size();
     this->keys.push_back({ "key-" + std::to_string(key), Json { { "chair", key } }.dump() });
     return key;
 }
 
 auto MixedRun::beginRound() -> Round
+{
+    const auto key = this->chooseKey();
+    this->keysOfBatch.push_back(key);
+    return this->beginAsks(key, 1 + this->script.random(mostAsksAtOnce));
+}
+
+auto MixedRun::beginAsks(std::size_t keyIndex, std::size_t asks) -> Round
 {
     Round round;
-    round.key = this->chooseKey();
-    this->keysOfBatch.push_back(round.key);
-    auto& key = this->keys[round.key];
-    const auto asks = 1 + this->script.random(mostAsksAtOnce);
+    round.key = keyIndex;
+    auto& key = this->keys[keyIndex];
     this->bookings.setRepeated(key.wasAsked || asks > 1);
     key.wasAsked = true;
     for (std::size_t ask = 0; ask < asks; ++ask)
--- a/src/measure/once/mixedrun.h
+++ b/src/measure/once/mixedrun.h
@@ -42,8 +42,13 @@
     };
 
     auto runBatch() -> bool;
+
+    /** Asks once for each of some new keys while the store is down. */
+    auto runOutage() -> bool;
     auto beginRounds(const std::vector<Fault>&) -> std::vector<Round>;
     auto beginRound() -> Round;
+    auto beginAsks(std::size_t key, std::size_t asks) -> Round;
+    auto addKey() -> std::size_t;
     auto finishRounds(const std::vector<Round>&) -> void;
     auto askAll() -> void;
 
--- a/src/node/claimkeeper.h
+++ b/src/node/claimkeeper.h
@@ -22,6 +22,7 @@
     Answered, ///< The call was answered before; the answer is in the record.
     KeyReused, ///< The key belongs to another call.
     Unknown, ///< The call may have been run, and this will not be told.
+    Late, ///< The claim was there only after the deadline; nothing was sent and nobody else has the call.
     TimedOut, ///< Another node had the call until the deadline; it may have been run.
     Unavailable, ///< The store could not be asked; nothing was sent for this wish.
 };
--- a/src/node/plainrun.cpp
+++ b/src/node/plainrun.cpp
@@ -33,6 +33,8 @@
     switch (verdict) {
     case ClaimVerdict::KeyReused:
         return { HttpStatus::conflict, "key_reused", Execution::NotRun, "the Request-Key belongs to a call with another body" };
+    case ClaimVerdict::Late:
+        return { HttpStatus::gatewayTimeout, "deadline_exceeded", Execution::NotRun, "the deadline passed before the call could be sent" };
     case ClaimVerdict::TimedOut:
         return { HttpStatus::gatewayTimeout, "deadline_exceeded", Execution::Unknown, "the deadline passed while another node has the call" };
     case ClaimVerdict::Unavailable:
--- a/src/node/storeclaim.cpp
+++ b/src/node/storeclaim.cpp
@@ -152,6 +152,11 @@
     if (this->isAbandoned)
         return this->beginSettling(ClaimState::NotRun);
     const auto notify = std::exchange(this->handler, nullptr);
+    // The process may have been paused since the claim was written.
+    if (EventLoop::now() >= this->request.deadline) {
+        this->beginSettling(ClaimState::NotRun);
+        return notify({ ClaimVerdict::Late, this->record });
+    }
     notify({ ClaimVerdict::Granted, this->record });
 }
 
--- a/src/node/storeclaimkeeper.cpp
+++ b/src/node/storeclaimkeeper.cpp
@@ -27,6 +27,8 @@
         return "key_reused";
     case ClaimVerdict::Unknown:
         return "unknown";
+    case ClaimVerdict::Late:
+        return "late";
     case ClaimVerdict::TimedOut:
         return "timed_out";
     case ClaimVerdict::Unavailable:
--- a/tests/once/fakestore.h
+++ b/tests/once/fakestore.h
@@ -5,6 +5,7 @@
 #include "keyvaluestore.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -17,6 +18,7 @@
     ReplyLost, ///< It takes effect; the writer sees a timeout.
     Lost, ///< It does not take effect; the writer sees a timeout.
     Late, ///< The writer sees a timeout; it takes effect when landLate() is called.
+    Held, ///< It takes effect; its reply comes with answerHeld().
     Refused, ///< The connection could not be opened.
 };
 
@@ -49,8 +51,12 @@
         }
         if (fate == WriteFate::Late)
             this->late.push_back(swap);
-        const auto takesEffect = fate == WriteFate::Answered || fate == WriteFate::ReplyLost;
+        const auto takesEffect = fate == WriteFate::Answered || fate == WriteFate::ReplyLost || fate == WriteFate::Held;
         const auto result = takesEffect ? this->apply(swap) : StoreSwapResult {};
+        if (fate == WriteFate::Held) {
+            this->held = [handler = std::move(handler), result] { handler({}, result); };
+            return;
+        }
         const auto failure = fate == WriteFate::Refused ? Error::ConnectionFailed : Error::Timeout;
         const auto error = fate == WriteFate::Answered ? std::error_code {} : make_error_code(failure);
         this->loop.post([handler = std::move(handler), error, result] { handler(error, result); });
@@ -74,6 +80,9 @@
     auto renewLease(LeaseId /*lease*/, DoneHandler /*handler*/) -> void override { ++this->renewals; }
     auto revokeLease(LeaseId /*lease*/, DoneHandler /*handler*/) -> void override { }
 
+    /** Sends the reply that was held. */
+    auto answerHeld() -> void { this->loop.post(std::exchange(this->held, nullptr)); }
+
     /** Lets the late writes take effect. */
     auto landLate() -> void
     {
@@ -124,6 +133,7 @@
 
     EventLoop& loop;
     std::deque<StoreSwap> late;
+    std::function<void()> held;
     ListingHandler waiting;
     std::string waitingKey;
     StoreRevision waitingAfter = 0;
--- a/tests/once/test_once.cpp
+++ b/tests/once/test_once.cpp
@@ -202,7 +202,8 @@
 
 TEST_CASE("a caller that went away gets the outcome when it asks again elsewhere")
 {
-    Cluster cluster(optionsOf(2, 1'000ms));
+    // The call takes longer than a stopping node takes new connections.
+    Cluster cluster(optionsOf(2, 3'500ms));
     REQUIRE(cluster.start());
     BookingClient bookings(cluster);
     const auto lost = bookings.begin(0, "k1", R"({"chair":1})");
--- a/tests/once/test_storeclaim.cpp
+++ b/tests/once/test_storeclaim.cpp
@@ -133,6 +133,22 @@
     CHECK_FALSE(fixture.answer.has_value());
 }
 
+TEST_CASE("a claim whose reply is read after the deadline is not used and released")
+{
+    Fixture fixture;
+    fixture.store.fates = { WriteFate::Held };
+    const auto claim = fixture.take(50ms);
+    const auto deadline = EventLoop::now() + 50ms;
+    REQUIRE(fixture.waitUntil([&fixture] { return fixture.store.writes == 1; }));
+
+    // The loop stands still, as in a process that is paused.
+    while (EventLoop::now() <= deadline) { }
+    fixture.store.answerHeld();
+
+    CHECK(fixture.verdict() == ClaimVerdict::Late);
+    CHECK(fixture.waitUntil([&fixture] { return fixture.state() == ClaimState::NotRun; }));
+}
+
 TEST_CASE("no claim is granted after it was refused")
 {
     Fixture fixture;
