Node: Brought candidates, shares and status to the peers' view

Routing chose among all engines while the node asks only those of its subset for their load; reclaim notices that peers told of were shown and not heeded; a node's share of the places came from the number of seeds; a request that came before a drain could still be given to the drained server by a later attempt; `node status` showed the asked node alone.

Change: candidates are those of the node's subset (all, when the subset has none), without those under a peer's notice, by the service's record that is in force now; shares count the live peers; `GET /admin/v1/nodes` lists the peers and who is behind.

--- a/src/cli/nodecommands.cpp
+++ b/src/cli/nodecommands.cpp
@@ -16,8 +16,10 @@
         return answer.exitCode();
     }
     std::vector<std::vector<std::string>> rows;
-    for (const auto& node : answer.body().value("nodes", nlohmann::json::array()))
-        rows.push_back({ textOf(node, "id"), textOf(node, "zone"), textOf(node, "lifecycle"), textOf(node, "store_revision"), textOf(node, "digest") });
+    for (const auto& node : answer.body().value("nodes", nlohmann::json::array())) {
+        const auto inForce = node.value("is_behind", false) ? "behind" : textOf(node, "digest");
+        rows.push_back({ textOf(node, "id"), textOf(node, "zone"), textOf(node, "lifecycle"), textOf(node, "store_revision"), inForce });
+    }
     printTable({ "ID", "ZONE", "LIFECYCLE", "STORE REVISION", "CONFIGURATION" }, rows);
     return ExitCode::Success;
 }
--- a/src/libprimrosefork/membership.h
+++ b/src/libprimrosefork/membership.h
@@ -16,6 +16,22 @@
     Left,
 };
 
+/** Returns the name of \a state as shown to operators. */
+[[nodiscard]] constexpr auto nameOf(PeerState state) -> const char*
+{
+    switch (state) {
+    case PeerState::Alive:
+        return "alive";
+    case PeerState::Suspect:
+        return "suspect";
+    case PeerState::Dead:
+        return "dead";
+    case PeerState::Left:
+        return "left";
+    }
+    return "unknown";
+}
+
 /**
  * A peer node as this node knows it.
  */
--- a/src/node/administrationapi.cpp
+++ b/src/node/administrationapi.cpp
@@ -199,9 +199,14 @@
 auto AdministrationApi::listNodes() const -> Json
 {
     const auto& configuration = this->blackboard.configuration.value();
-    return Json::array({ { { "id", this->settings.id }, { "zone", this->settings.zone }, { "region", this->settings.region },
+    auto list = Json::array({ { { "id", this->settings.id }, { "zone", this->settings.zone }, { "region", this->settings.region },
         { "lifecycle", nameOf(this->blackboard.lifecycle.value()) }, { "store_revision", configuration.storeRevision },
         { "digest", configuration.digest() }, { "records", configuration.records.size() } } });
+    for (const auto& [id, peer] : this->blackboard.peers.value()) {
+        list.push_back({ { "id", id }, { "zone", peer.zone }, { "region", peer.region }, { "lifecycle", nameOf(peer.state) },
+            { "store_revision", peer.configurationRevision }, { "is_behind", peer.configurationRevision < configuration.storeRevision } });
+    }
+    return list;
 }
 
 auto AdministrationApi::listBackendServers() const -> Json
--- a/src/node/candidatecache.cpp
+++ b/src/node/candidatecache.cpp
@@ -32,16 +32,21 @@
 {
     blackboard.backendServers.changed.connect(sigc::hide(sigc::mem_fun(*this, &CandidateCache::clear)));
     blackboard.reclaimNotices.changed.connect(sigc::hide(sigc::mem_fun(*this, &CandidateCache::clear)));
+    blackboard.peerNotices.changed.connect(sigc::hide(sigc::mem_fun(*this, &CandidateCache::clear)));
+    blackboard.backendSubset.changed.connect(sigc::hide(sigc::mem_fun(*this, &CandidateCache::clear)));
     blackboard.configuration.changed.connect(sigc::hide(sigc::mem_fun(*this, &CandidateCache::clear)));
 }
 
 auto CandidateCache::find(const ServiceRecord& service, RouteKind kind) -> const CandidateList&
 {
-    auto key = keyOf(service, kind);
+    // A request may have come before the last change, such as the drain of a backend server.
+    const auto* inForce = this->blackboard.configuration.value().service(service.workspace, service.name);
+    const auto& asked = inForce ? *inForce : service;
+    auto key = keyOf(asked, kind);
     const auto found = this->lists.find(key);
     if (found != this->lists.end())
         return found->second;
-    return this->lists.emplace(std::move(key), CandidateList(findCandidates(this->blackboard, service, kind, {}))).first->second;
+    return this->lists.emplace(std::move(key), CandidateList(findCandidates(this->blackboard, asked, kind, {}))).first->second;
 }
 
 } // namespace Primrosefork
--- a/src/node/candidatecache.h
+++ b/src/node/candidatecache.h
@@ -17,7 +17,10 @@
 public:
     explicit CandidateCache(Blackboard&);
 
-    /** Returns the candidates for \a service with none excluded. Valid until the loop runs again. */
+    /**
+     * Returns the candidates for \a service with none excluded, by its record
+     * that is in force now. Valid until the loop runs again.
+     */
     auto find(const ServiceRecord& service, RouteKind kind) -> const CandidateList&;
 
 private:
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -21,20 +21,30 @@
     return server.kind == BackendKind::Engine && server.model == wanted.model && server.version == wanted.version;
 }
 
+auto isLeaving(const Blackboard& blackboard, const BackendServer& server) -> bool
+{
+    return server.state != InstanceState::Live || blackboard.reclaimNotices.value().contains(server.id)
+        || blackboard.peerNotices.value().contains(server.id);
+}
+
 } // namespace
 
 auto findCandidates(const Blackboard& blackboard, const ServiceRecord& service, RouteKind kind,
     const std::set<std::string>& excluded) -> std::vector<const BackendServer*>
 {
-    std::vector<const BackendServer*> candidates;
-    const auto& notices = blackboard.reclaimNotices.value();
+    std::vector<const BackendServer*> ofSubset;
+    std::vector<const BackendServer*> all;
+    const auto& subset = blackboard.backendSubset.value();
     for (const auto& [id, server] : blackboard.backendServers.value()) {
-        if (server.state != InstanceState::Live || notices.contains(id) || excluded.contains(id))
+        if (isLeaving(blackboard, server) || excluded.contains(id) || contains(service.parameters.drainedBackends, id))
+            continue;
+        if (!serves(server, service, kind))
             continue;
-        if (serves(server, service, kind) && !contains(service.parameters.drainedBackends, id))
-            candidates.push_back(&server);
+        all.push_back(&server);
+        if (subset.contains(id))
+            ofSubset.push_back(&server);
     }
-    return candidates;
+    return ofSubset.empty() ? all : ofSubset;
 }
 
 } // namespace Primrosefork
--- a/src/node/membershipcontroller.cpp
+++ b/src/node/membershipcontroller.cpp
@@ -34,21 +34,6 @@
     return self;
 }
 
-auto nameOf(PeerState state) -> const char*
-{
-    switch (state) {
-    case PeerState::Alive:
-        return "alive";
-    case PeerState::Suspect:
-        return "suspect";
-    case PeerState::Dead:
-        return "dead";
-    case PeerState::Left:
-        return "left";
-    }
-    return "unknown";
-}
-
 auto refusedCount(const PeerCodecCounts& counts) -> std::uint64_t
 {
     return counts.malformed + counts.unknownKey + counts.notAuthentic + counts.old + counts.replayed;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -22,6 +22,12 @@
     return capacity;
 }
 
+auto livePeers(const Peers& peers) -> std::size_t
+{
+    const auto isLive = [](const auto& entry) { return entry.second.state == PeerState::Alive || entry.second.state == PeerState::Suspect; };
+    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), isLive));
+}
+
 } // namespace
 
 Node::Node(EventLoop& loop, NodeSettings nodeSettings)
@@ -70,10 +76,9 @@
         [this](const StoreEntry& entry) { this->configuration.putInForce(entry); });
     this->blackboard.loadReports.changed.connect(
         [this](const LoadReports& reports) { this->routing->loadReported(reports, EventLoop::now()); });
-    const auto nodes = std::max<std::size_t>(1, this->settings.peerSeeds.size());
-    this->routing->setNodeCount(nodes);
-    this->blackboard.backendServers.changed.connect(
-        [this, nodes](const BackendServers& servers) { this->admission.setCapacity(capacityOf(servers, nodes), EventLoop::now()); });
+    this->blackboard.backendServers.changed.connect([this](const BackendServers&) { this->shareChanged(); });
+    this->blackboard.peers.changed.connect([this](const Peers&) { this->shareChanged(); });
+    this->shareChanged();
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
         const auto own = current.find(this->settings.id);
         if (own != current.end())
@@ -82,6 +87,15 @@
     });
 }
 
+auto Node::shareChanged() -> void
+{
+    auto nodes = std::max<std::size_t>(1, this->settings.peerSeeds.size());
+    if (this->settings.peers.port != 0)
+        nodes = 1 + livePeers(this->blackboard.peers.value());
+    this->routing->setNodeCount(nodes);
+    this->admission.setCapacity(capacityOf(this->blackboard.backendServers.value(), nodes), EventLoop::now());
+}
+
 auto Node::connectPeers() -> void
 {
     this->blackboard.configuration.changed.connect(
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -55,6 +55,7 @@
     auto connectSignals() -> void;
     auto addStateSources() -> void;
     auto connectPeers() -> void;
+    auto shareChanged() -> void;
     auto beginPeers() -> std::error_code;
 
     EventLoop& loop;
--- a/tests/peer/test_configurationfrompeer.cpp
+++ b/tests/peer/test_configurationfrompeer.cpp
@@ -54,7 +54,7 @@
         EventLoop loop;
         AbsentStore store;
         Blackboard blackboard;
-        ConfigurationController controller(loop, store, blackboard, log, 1s);
+        ConfigurationController controller(loop, store, blackboard, log, { .watch = 1s });
         controller.applyFromPeer({ { { "config/workspaces/a", makeWorkspace(2, '5'), 10 } }, 10 });
 
         controller.applyFromPeer({ row.received, 12 });
@@ -72,7 +72,7 @@
     EventLoop loop;
     AbsentStore store;
     Blackboard blackboard;
-    ConfigurationController controller(loop, store, blackboard, log, 1s);
+    ConfigurationController controller(loop, store, blackboard, log, { .watch = 1s });
     controller.applyFromPeer({ { { "config/workspaces/a", makeWorkspace(2, '5'), 10 }, { "config/workspaces/b", makeWorkspace(1, '7'), 4 } }, 10 });
 
     const auto listing = controller.recordsAfter(4);
