--- a/src/standins/enginestandin.cpp
+++ b/src/standins/enginestandin.cpp
@@ -64,6 +64,7 @@
         this->slowdown = body.value("slowdown", this->slowdown);
         this->isFrozen = body.value("frozen", this->isFrozen);
         this->isShuffling = body.value("shuffle", this->isShuffling);
+        this->variant = body.value("variant", this->variant);
         this->misroutedStreams = body.value("misroute", this->misroutedStreams);
         if (body.value("drop_cache", false))
             this->cache.clear();
@@ -215,6 +216,15 @@
     }
 }
 
+auto EngineStandin::nextText(const Stream& stream) const -> std::string
+{
+    if (stream.isMisrouted)
+        return tokenText("another prompt", stream.next);
+    if (!this->variant.empty())
+        return historyText(stream.prompt + stream.delivered, this->variant);
+    return tokenText(stream.prompt, stream.next);
+}
+
 auto EngineStandin::sendToken(Stream& stream) -> void
 {
     if (!std::exchange(stream.isStreamBegun, true)) {
@@ -224,7 +234,7 @@
     }
     if (stream.next >= stream.maxTokens)
         return;
-    const auto text = tokenText(stream.isMisrouted ? "another prompt" : stream.prompt, stream.next);
+    const auto text = this->nextText(stream);
     const auto line = Json { { "offset", stream.next }, { "text", text } }.dump() + "\n";
     if (this->isShuffling)
         this->sendShuffled(stream, line);
--- a/src/standins/enginestandin.h
+++ b/src/standins/enginestandin.h
@@ -77,6 +77,7 @@
     auto endStep() -> void;
     auto prefill() -> void;
     auto decode() -> void;
+    [[nodiscard]] auto nextText(const Stream&) const -> std::string;
     auto sendToken(Stream&) -> void;
     auto sendShuffled(Stream&, const std::string& line) -> void;
     auto endStream(Stream&) -> void;
@@ -92,6 +93,7 @@
     double slowdown = 1.0;
     bool isFrozen = false; ///< Takes streams and makes no token.
     bool isShuffling = false; ///< Sends tokens out of order and twice.
+    std::string variant; ///< Not empty: its tokens depend on it and on all text before them.
     std::int64_t misroutedStreams = 0; ///< So many next streams answer another request.
     std::list<Stream> waiting;
     std::list<Stream> running;
--- a/src/standins/tokentext.cpp
+++ b/src/standins/tokentext.cpp
@@ -17,4 +17,10 @@
     return "w" + std::to_string(word) + " ";
 }
 
+auto historyText(std::string_view history, std::string_view variant) -> std::string
+{
+    const auto seed = std::string(variant) + ":" + std::string(history);
+    return "w" + std::to_string(hash64(seed) % wordCount) + std::string(variant) + " ";
+}
+
 } // namespace Primrosefork
--- a/src/standins/tokentext.h
+++ b/src/standins/tokentext.h
@@ -12,4 +12,11 @@
  */
 [[nodiscard]] auto tokenText(std::string_view prompt, std::int64_t offset) -> std::string;
 
+/**
+ * Returns the token that engine \a variant puts after \a history, the prompt and
+ * all tokens before it. Other engines put another one, and so does the same engine
+ * after another history.
+ */
+[[nodiscard]] auto historyText(std::string_view history, std::string_view variant) -> std::string;
+
 } // namespace Primrosefork
--- a/src/testkit/streamcaller.cpp
+++ b/src/testkit/streamcaller.cpp
@@ -113,12 +113,21 @@
     this->lastToken = now;
     if (offset != this->result.received)
         ++(offset < this->result.received ? this->result.repeats : this->result.gaps);
-    if (text != tokenText(this->order.prompt, this->result.received))
+    if (text != this->expectedText(text))
         ++this->result.wrongTokens;
     this->delivered += text;
     ++this->result.received;
 }
 
+auto StreamCaller::expectedText(const std::string& text) const -> std::string
+{
+    if (!this->order.dependsOnHistory)
+        return tokenText(this->order.prompt, this->result.received);
+    constexpr std::size_t suffixBytes = 2; // The variant and a space.
+    const auto variant = text.size() < suffixBytes ? "" : text.substr(text.size() - suffixBytes, 1);
+    return historyText(this->order.prompt + this->delivered, variant);
+}
+
 auto StreamCaller::ended() -> void
 {
     this->call.reset();
--- a/src/testkit/streamcaller.h
+++ b/src/testkit/streamcaller.h
@@ -17,6 +17,7 @@
     std::string prompt;
     std::int64_t tokens = 0;
     std::string path = "/v1/services/desk/draft";
+    bool dependsOnHistory = false; ///< The engines are told a "variant" of one letter each.
     std::string key; ///< Sent as Request-Key when not empty.
     std::chrono::milliseconds idleLimit { 10'000 }; ///< After which the caller asks again.
 };
@@ -64,6 +65,7 @@
     auto readLine(const std::string&) -> void;
     auto readToken(std::int64_t offset, const std::string& text) -> void;
     auto ended() -> void;
+    [[nodiscard]] auto expectedText(const std::string& text) const -> std::string;
 
     BlockingClient& client;
     StreamOrder order;
--- a/tests/streams/streamtest.cpp
+++ b/tests/streams/streamtest.cpp
@@ -13,13 +13,14 @@
 
 } // namespace
 
-auto addCaller(Callers& callers, Testkit::Cluster& cluster, const std::vector<std::size_t>& nodes, std::int64_t tokens) -> void
+auto addCaller(Callers& callers, Testkit::Cluster& cluster, const std::vector<std::size_t>& nodes, std::int64_t tokens, bool dependsOnHistory) -> void
 {
     Testkit::StreamOrder order;
     for (const auto node : nodes)
         order.nodes.push_back(cluster.callers(node));
     order.prompt = "stream " + std::to_string(callers.size()) + " of a salon's schedule";
     order.tokens = tokens;
+    order.dependsOnHistory = dependsOnHistory;
     order.firstNode = callers.size();
     callers.push_back(std::make_unique<Testkit::StreamCaller>(cluster.client(), std::move(order)));
     callers.back()->begin();
--- a/tests/streams/streamtest.h
+++ b/tests/streams/streamtest.h
@@ -16,7 +16,7 @@
 constexpr std::int64_t maxStall = 1500; ///< Milliseconds: the bound of a move, and half a second for a busy machine.
 
 /** Starts a caller of \a tokens tokens that asks \a nodes in turn, not all callers the same one first. */
-auto addCaller(Callers&, Testkit::Cluster&, const std::vector<std::size_t>& nodes, std::int64_t tokens) -> void;
+auto addCaller(Callers&, Testkit::Cluster&, const std::vector<std::size_t>& nodes, std::int64_t tokens, bool dependsOnHistory = false) -> void;
 
 [[nodiscard]] auto haveAllBegun(const Callers&) -> bool;
 [[nodiscard]] auto areAllWhole(const Callers&) -> bool;
--- a/tests/streams/test_streams.cpp
+++ b/tests/streams/test_streams.cpp
@@ -143,4 +143,50 @@
     CHECK(Testkit::totalsOf(callers).asks == 4);
 }
 
+struct OnePieceCase {
+    std::string name;
+    bool isReclaimed; ///< Or falls silent.
+    std::int64_t prefillRate; ///< Tokens a second; a slow one gives a move up and tries again.
+};
+
+const OnePieceCase onePieceCases[] = {
+    { "reclaimed", true, 8000 },
+    { "reclaimed, slow to move", true, 50 },
+    { "silent and speaking again", false, 8000 },
+};
+
+TEST_CASE("an answer stays of one piece with engines that never choose the same tokens")
+{
+    for (const auto& row : onePieceCases) {
+        CAPTURE(row.name);
+        ClusterOptions options;
+        options.engine = { { "prefill_tokens_per_second", row.prefillRate } };
+        Cluster cluster(options);
+        REQUIRE(cluster.start());
+        const auto variants = { "a", "b", "c" };
+        std::size_t engine = 0;
+        for (const auto* variant : variants)
+            cluster.control(cluster.engine(engine++), { { "variant", variant } });
+        Callers callers;
+        for (int index = 0; index < 6; ++index)
+            addCaller(callers, cluster, { 0 }, 300, true);
+        REQUIRE(cluster.client().waitUntil([&] { return haveAllBegun(callers); }, 20s));
+
+        if (row.isReclaimed) {
+            notice(cluster, { Cluster::engineId(0) }, 5s);
+        } else {
+            cluster.control(cluster.engine(0), { { "frozen", true } });
+            runFor(cluster, 700ms);
+            cluster.control(cluster.engine(0), { { "frozen", false } });
+        }
+
+        REQUIRE(cluster.client().waitUntil([&] { return areAllWhole(callers); }, 60s));
+        checkRight(callers);
+        const auto* reason = row.isReclaimed ? "reclaim" : "silence";
+        CHECK(metric(cluster, std::string("second_attempts_total{reason=\"") + reason + "\"}") > 0);
+        if (row.prefillRate < 100)
+            CHECK(metric(cluster, "moves_abandoned_total") > 0);
+    }
+}
+
 } // namespace
