Streams: Counted unread pieces, each of which takes a kibibyte

A caller that read nothing cost its node 2.1 MiB before its stream was held back, because each piece of an answer keeps a buffer of its own: the limit on unread bytes let 2,000 of them stand.

--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::size_t prefixBytes = 256; ///< Of the prompt, compared to find cached work.
 constexpr std::size_t streamIdBytes = 16;
+constexpr int maxUnreadPieces = 64; ///< Each takes about a kibibyte until it is written, whatever its text.
 constexpr std::chrono::milliseconds serverWaitPeriod = 50ms; ///< Between two looks for a backend server when there is none.
 constexpr std::chrono::milliseconds serverWaitLimit = 10s; ///< For an answer that has not begun.
 constexpr std::chrono::microseconds silenceReviewPeriod = 250ms; ///< Of an attempt without a token, whose engine others may find silent.
@@ -256,12 +257,14 @@
     if (!this->exchange->isStreaming())
         this->exchange->beginStream(HttpStatus::ok, { { "Content-Type", "application/x-ndjson" }, { "Stream-Id", this->streamId } });
     this->exchange->sendPiece(line);
-    if (this->exchange->isCongested() && this->first)
+    ++this->unreadPieces;
+    if (this->first && (this->exchange->isCongested() || this->unreadPieces > maxUnreadPieces))
         this->first->pause();
 }
 
 auto ModelRun::callerDrained() -> void
 {
+    this->unreadPieces = 0;
     if (this->hasEnded || !this->first || !this->first->isPaused())
         return;
     this->first->resume();
--- a/src/node/modelrun.h
+++ b/src/node/modelrun.h
@@ -94,6 +94,7 @@
     std::set<std::string> failedServers;
     std::optional<EventLoop::TimePoint> engineNoticed; ///< When the reclaim of the first attempt's engine was seen.
     std::optional<EventLoop::TimePoint> nodeNoticed;
+    int unreadPieces = 0; ///< Sent since the caller had read everything.
     int attempts = 0;
     int failuresInRow = 0; ///< Since the last token.
     int abandonedMoves = 0; ///< Of the first attempt's engine.
