--- a/tests/streams/streamtest.cpp
+++ b/tests/streams/streamtest.cpp
@@ -11,6 +11,14 @@
 
 using Json = nlohmann::json;
 
+auto faultsOf(const Callers& callers) -> std::string
+{
+    const auto totals = Testkit::totalsOf(callers);
+    const auto missing = static_cast<std::int64_t>(callers.size()) - totals.whole;
+    return std::to_string(missing) + " not whole, " + std::to_string(totals.wrongTokens) + " wrong tokens, " + std::to_string(totals.gaps) + " gaps, "
+        + std::to_string(totals.repeats) + " repeats";
+}
+
 } // namespace
 
 auto addCaller(Callers& callers, Testkit::Cluster& cluster, const std::vector<std::size_t>& nodes, std::int64_t tokens, bool dependsOnHistory) -> void
@@ -58,11 +66,7 @@
 
 auto checkRight(const Callers& callers) -> void
 {
-    const auto totals = Testkit::totalsOf(callers);
-    CHECK(totals.whole == static_cast<std::int64_t>(callers.size()));
-    CHECK(totals.wrongTokens == 0);
-    CHECK(totals.gaps == 0);
-    CHECK(totals.repeats == 0);
+    CHECK(faultsOf(callers) == "0 not whole, 0 wrong tokens, 0 gaps, 0 repeats");
 }
 
 auto runFor(Testkit::Cluster& cluster, std::chrono::milliseconds time) -> void
--- a/tests/streams/test_slowcaller.cpp
+++ b/tests/streams/test_slowcaller.cpp
@@ -1,4 +1,5 @@
 #include "streamtest.h"
+#include "units.h"
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
@@ -51,7 +52,7 @@
 TEST_CASE("a caller that reads nothing holds its stream back, and its stream ends with it")
 {
     // For each caller the stream buffer, the text kept to go on elsewhere, and what was read before the pause; its answer has 30 MiB.
-    constexpr std::size_t memoryLimit = 4 * 1024 * 1024;
+    constexpr std::size_t memoryLimit = 4 * mebibyte;
     constexpr std::size_t callerCount = 4;
     ClusterOptions options;
     options.engines = 1;
