Streams: Waited for the second attempt in place of a fixed time

The row "silent and speaking again" froze its engine for 700 ms and failed in one of three runs at a load of 14: the silence that is borne grows with the usual gap. It now waits until the second attempt is asked for.

--- a/tests/streams/test_streams.cpp
+++ b/tests/streams/test_streams.cpp
@@ -176,7 +176,8 @@
             notice(cluster, { Cluster::engineId(0) }, 5s);
         } else {
             cluster.control(cluster.engine(0), { { "frozen", true } });
-            runFor(cluster, 700ms);
+            const auto isAskedAgain = [&] { return metric(cluster, "second_attempts_total{reason=\"silence\"}") > 0; };
+            REQUIRE(cluster.client().waitUntil(isAskedAgain, 10s));
             cluster.control(cluster.engine(0), { { "frozen", false } });
         }
 
