--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -25,9 +25,10 @@
 constexpr std::chrono::milliseconds placePeriod { 20 }; ///< Between two looks for a place at a backend server.
 constexpr std::uint64_t attemptsPerRequest = 1024; ///< So many attempts of one request are told apart.
 constexpr std::size_t streamIdBytes = 16;
+constexpr int maxUnreadPieces = 64; ///< Each takes about a kibibyte until it is written, whatever its text.
 constexpr std::chrono::milliseconds serverWaitPeriod = 50ms; ///< Between two looks for a backend server when there is none.
 constexpr std::chrono::milliseconds serverWaitLimit = 10s; ///< For an answer that has not begun.
-constexpr std::chrono::microseconds silenceReviewPeriod = 250ms; ///< Of an attempt without a token, whose engine others may find silent.
+constexpr std::chrono::microseconds silenceReviewPeriod = 100ms; ///< Of an attempt without a token, whose engine others may find silent.
 constexpr std::chrono::milliseconds budgetWaitPeriod = 250ms; ///< For a begun answer when no retry is allowed.
 constexpr int maxFailuresInRow = 16; ///< Of a begun answer without a token between them.
 constexpr std::chrono::milliseconds moveStallLimit = 1s; ///< For the first token of a move, while the old engine still speaks.
@@ -184,7 +185,7 @@
 {
     auto asked = this->routingRequest();
     asked.id = this->request.id * attemptsPerRequest + static_cast<std::uint64_t>(this->attempts) % attemptsPerRequest;
-    const auto attempt = std::make_shared<StreamAttempt>(this->context, asked, server);
+    auto attempt = std::make_shared<StreamAttempt>(this->context, asked, server);
     const auto isRepeated = this->attempts++ > 0 || this->request.offset > 0;
     StreamAttemptHandlers handlers;
     handlers.onReady = [this](StreamAttempt& ready) { this->tokensReady(ready); };
@@ -290,12 +291,14 @@
     if (!this->exchange->isStreaming())
         this->exchange->beginStream(HttpStatus::ok, { { "Content-Type", "application/x-ndjson" }, { "Stream-Id", this->streamId } });
     this->exchange->sendPiece(line);
-    if (this->exchange->isCongested() && this->first)
+    ++this->unreadPieces;
+    if (this->first && (this->exchange->isCongested() || this->unreadPieces > maxUnreadPieces))
         this->first->pause();
 }
 
 auto ModelRun::callerDrained() -> void
 {
+    this->unreadPieces = 0;
     if (this->hasEnded || !this->first || !this->first->isPaused())
         return;
     this->first->resume();
--- a/tests/admission/test_adaptivelimit.cpp
+++ b/tests/admission/test_adaptivelimit.cpp
@@ -26,7 +26,7 @@
     constexpr std::size_t least = 4;
     constexpr std::size_t most = 1000;
     for (const auto& row : limitCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         AdaptiveLimit limit(least, most);
         constexpr int requests = 20'000;
         std::size_t settled = 0;
--- a/tests/admission/test_fairadmissionpolicy.cpp
+++ b/tests/admission/test_fairadmissionpolicy.cpp
@@ -45,7 +45,7 @@
 TEST_CASE("a service over its token rate is refused at once")
 {
     for (const auto& row : rateCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         FairAdmissionPolicy policy(maxOpen);
         policy.setCapacity({ 96, 1 }, start);
         auto first = makeRequest(1, "w", start + 1h);
@@ -78,7 +78,7 @@
 TEST_CASE("the places follow the slots of the engines")
 {
     for (const auto& row : placesCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         FairAdmissionPolicy policy(maxOpen);
         policy.setCapacity(row.capacity, start);
         CHECK(policy.placeCount() == row.places);
@@ -260,7 +260,7 @@
 TEST_CASE("workspaces are admitted by their weights")
 {
     for (const auto& row : weightCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto simulation = simulate({ { "a", WorkClass::Short, row.firstWeight, 5, 60, 5s, 1s }, { "b", WorkClass::Short, row.secondWeight, 5, 60, 5s, 1s } }, slots);
         const auto ratio = static_cast<double>(simulation.results[0].waits.size()) / static_cast<double>(simulation.results[1].waits.size());
         CHECK(ratio >= row.ratio * 0.85);
--- a/tests/configuration/test_configurationchange.cpp
+++ b/tests/configuration/test_configurationchange.cpp
@@ -111,7 +111,7 @@
 TEST_CASE("a change is worked out against its base and checked as a whole")
 {
     for (const auto& row : changeCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto configuration = baseConfiguration();
         const ChangeOrigin origin { row.base, row.writeId, "cleo", std::chrono::system_clock::time_point(5s) };
 
@@ -175,7 +175,7 @@
 TEST_CASE("a record in force never goes back")
 {
     for (const auto& row : olderCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         auto configuration = baseConfiguration();
         Findings findings;
 
@@ -230,7 +230,7 @@
 TEST_CASE("what is not a record is a finding and changes nothing")
 {
     for (const auto& row : badRecordCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         auto configuration = baseConfiguration();
         Findings findings;
 
--- a/tests/configuration/test_inforce.cpp
+++ b/tests/configuration/test_inforce.cpp
@@ -84,7 +84,7 @@
 TEST_CASE("an accepted change is in force on all nodes in time")
 {
     for (const auto& row : faultCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Cluster cluster({ .nodes = 3, .engines = 1, .plainServices = 1 });
         REQUIRE(cluster.start());
         REQUIRE(cluster.client().waitUntil([&cluster] { return cluster.control(cluster.keyValueService(), Json::object())["waiting_watches"] == 3; }, 10s));
--- a/tests/once/test_claimdecision.cpp
+++ b/tests/once/test_claimdecision.cpp
@@ -33,7 +33,7 @@
 TEST_CASE("a node sends only what it has claimed or what nobody sent")
 {
     for (const auto& row : decisionCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         ClaimRecord found;
         found.state = row.state;
         found.writeId = row.writeId;
@@ -83,7 +83,7 @@
 TEST_CASE("a value that is not a record is told apart")
 {
     for (const auto& row : badValueCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         CHECK_FALSE(decodeClaim(row.value).has_value());
     }
 }
@@ -110,7 +110,7 @@
 TEST_CASE("an answer above the limit is kept without its body")
 {
     for (const auto& row : answerCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto kept = limitAnswer({ 200, "text/plain", std::string(row.bytes, 'x'), true }, 100);
         CHECK(kept.isWhole == row.isWhole);
         CHECK(kept.body.size() == (row.isWhole ? row.bytes : 0));
--- a/tests/once/test_once.cpp
+++ b/tests/once/test_once.cpp
@@ -319,7 +319,7 @@
 TEST_CASE("a call whose answer does not come is unknown for good")
 {
     for (const auto& row : serviceFaultCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Cluster cluster(optionsOf(2));
         REQUIRE(cluster.start());
         BookingClient bookings(cluster);
--- a/tests/once/test_storeclaim.cpp
+++ b/tests/once/test_storeclaim.cpp
@@ -91,7 +91,7 @@
 TEST_CASE("a claim is recognised whatever becomes of its replies")
 {
     for (const auto& row : fateCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Fixture fixture;
         fixture.store.fates = row.fates;
 
@@ -214,7 +214,7 @@
 TEST_CASE("another node's claim is waited for and never taken over")
 {
     for (const auto& row : otherCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Fixture fixture;
         fixture.putOther(row.first, row.remaining);
 
--- a/tests/operators/test_administration.cpp
+++ b/tests/operators/test_administration.cpp
@@ -57,7 +57,7 @@
     REQUIRE(cluster.start());
 
     for (const auto& row : apiCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         HttpHeaders headers;
         if (*row.credential)
             headers.add("Authorization", std::string("Bearer ") + row.credential);
--- a/tests/operators/test_commandline.cpp
+++ b/tests/operators/test_commandline.cpp
@@ -134,7 +134,7 @@
     prepareEnvironment(cluster, files);
 
     for (const auto& row : commandCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
 
         const auto result = Testkit::runProgram(Cluster::cliProgram(), split(row.arguments), 30s);
 
@@ -164,7 +164,7 @@
 {
     const Files files;
     for (const auto& row : outageCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Cluster cluster({ .engines = 1, .plainServices = 1 });
         REQUIRE(cluster.start());
         prepareEnvironment(cluster, files);
--- a/tests/operators/test_configurationwriter.cpp
+++ b/tests/operators/test_configurationwriter.cpp
@@ -197,7 +197,7 @@
 TEST_CASE("a change is accepted when durable, and written once")
 {
     for (const auto& row : writeCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         EventLoop loop;
         ScriptedStore store(loop);
         store.apply(storedTemplate(3, "first"));
--- a/tests/peer/test_configurationexchange.cpp
+++ b/tests/peer/test_configurationexchange.cpp
@@ -36,7 +36,7 @@
 TEST_CASE("a request is accepted only as it was sent, and soon")
 {
     for (const auto& row : requestCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const ConfigurationExchange from({ key });
         const ConfigurationExchange to(row.keys);
         const auto message = from.encodeRequest({ "node-1", nonce, now, 9 }, "127.0.0.1:1");
@@ -81,7 +81,7 @@
 TEST_CASE("a configuration is fetched over TCP")
 {
     for (const auto& row : fetchCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         EventLoop loop;
         const ConfigurationExchange serverExchange(row.serverKeys);
         const ConfigurationExchange clientExchange({ key });
--- a/tests/peer/test_configurationfrompeer.cpp
+++ b/tests/peer/test_configurationfrompeer.cpp
@@ -50,7 +50,7 @@
 {
     const EventLog log("error");
     for (const auto& row : peerListingCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         EventLoop loop;
         AbsentStore store;
         Blackboard blackboard;
--- a/tests/peer/test_peercodec.cpp
+++ b/tests/peer/test_peercodec.cpp
@@ -69,7 +69,7 @@
 TEST_CASE("a datagram that is not as it was sent is refused and counted")
 {
     for (const auto& row : refusalCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         PeerCodec from(sender, 1, { oldKey });
         PeerCodec to(row.arrivesAt, 1, { oldKey });
         auto datagram = from.encode(makeMessage(), recipient, now);
@@ -98,7 +98,7 @@
 TEST_CASE("keys are changed one node at a time")
 {
     for (const auto& row : keyCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         PeerCodec from(sender, 1, row.sender);
         PeerCodec to(recipient, 1, row.recipient);
         CHECK(to.decode(from.encode(makeMessage(), recipient, now), now).has_value() == row.isAccepted);
@@ -129,7 +129,7 @@
 TEST_CASE("a datagram counts once")
 {
     for (const auto& row : replayCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         ReplayGuard guard(60s);
         for (const auto& step : row.steps)
             CHECK(guard.admit("node-1", { step.session, step.sequence, now }, now) == step.verdict);
--- a/tests/peer/test_peermembership.cpp
+++ b/tests/peer/test_peermembership.cpp
@@ -25,7 +25,7 @@
 TEST_CASE("a death is known to all within 5 s")
 {
     for (const auto& row : deathCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         MembershipNetwork network({ .nodes = row.nodes, .loss = row.loss });
         REQUIRE(network.runUntil([&] { return network.isWhole(); }, 60s) >= 0ms);
         network.run(5s);
@@ -59,7 +59,7 @@
 TEST_CASE("pauses of up to a second cause no death")
 {
     for (const auto& row : pauseCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         MembershipNetwork network({ .nodes = row.nodes, .loss = row.loss });
         REQUIRE(network.runUntil([&] { return network.isWhole(); }, 60s) >= 0ms);
         std::minstd_rand generator(7);
@@ -150,7 +150,7 @@
 TEST_CASE("halves that were apart come whole again without a storm")
 {
     for (const auto& row : partitionCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         MembershipNetwork network({ .nodes = row.nodes });
         REQUIRE(network.runUntil([&] { return network.isWhole(); }, 60s) >= 0ms);
         network.partition(row.first);
--- a/tests/peer/test_peernodes.cpp
+++ b/tests/peer/test_peernodes.cpp
@@ -65,7 +65,7 @@
 TEST_CASE("nodes learn how a node went, and that it is back")
 {
     for (const auto& row : goingCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Testkit::Cluster cluster({ .nodes = 3, .hasPeers = true });
         REQUIRE(cluster.start());
         auto& client = cluster.client();
--- a/tests/retries/test_budgetretrypolicy.cpp
+++ b/tests/retries/test_budgetretrypolicy.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("delays grow with the failed attempts and respect the deadline")
 {
     for (const auto& row : delayCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         BudgetRetryPolicy policy(1);
         const TimePoint now { 1h };
 
@@ -76,7 +76,7 @@
 TEST_CASE("a spent budget delays fresh attempts and not streams under way")
 {
     for (const auto& row : spentCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         BudgetRetryPolicy policy(1);
         const TimePoint now { 1h };
         for (int retry = 0; retry < 5; ++retry)
@@ -106,7 +106,7 @@
 TEST_CASE("attempts stay within 1.1 times the accepted requests")
 {
     for (const auto& row : shareCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         BudgetRetryPolicy policy(7);
         std::minstd_rand random(11);
         std::multimap<TimePoint, int> due; // Failed attempts of requests by the moment of their next one.
--- a/tests/routing/test_candidates.cpp
+++ b/tests/routing/test_candidates.cpp
@@ -90,7 +90,7 @@
 TEST_CASE("candidates follow what the blackboard shows")
 {
     for (const auto& row : candidateCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Board board;
         const auto service = makeService({});
         // The list is kept from before the change.
--- a/tests/routing/test_outstandingwork.cpp
+++ b/tests/routing/test_outstandingwork.cpp
@@ -56,7 +56,7 @@
 TEST_CASE("outstanding work follows a request")
 {
     for (const auto& row : stepCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         OutstandingWork work;
         const auto server = makeServer("e1");
         const auto request = makeRequest(1);
@@ -96,7 +96,7 @@
 TEST_CASE("a late report is set against the node's own work of that moment")
 {
     for (const auto& row : reportCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         OutstandingWork work;
         const auto server = makeServer("e1");
         std::uint64_t id = 1;
--- a/tests/routing/test_prefixaffinity.cpp
+++ b/tests/routing/test_prefixaffinity.cpp
@@ -66,7 +66,7 @@
 TEST_CASE("prompts are cut into whole blocks")
 {
     for (const auto& row : blockCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         CHECK(prefixBlocks(std::string(row.bytes, 'x')).size() == row.blocks);
     }
 }
--- a/tests/routing/test_productpolicy.cpp
+++ b/tests/routing/test_productpolicy.cpp
@@ -59,7 +59,7 @@
 TEST_CASE("the nearer server is chosen until its load costs more than the way")
 {
     for (const auto& row : loadCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto servers = makeServers(2);
         const auto list = makeList(servers);
         // The way costs less than the noise now and then, so that most of some choices count.
@@ -137,7 +137,7 @@
 TEST_CASE("long work is limited to its places")
 {
     for (const auto& row : longCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto servers = makeServers(12);
         const auto list = makeList(servers);
         ProductPolicy policy(1);
@@ -251,7 +251,7 @@
 TEST_CASE("policies are made by their names")
 {
     for (const auto& row : nameCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         CHECK((makeRoutingPolicy(row.name) != nullptr) == row.isKnown);
     }
 }
--- a/tests/routing/test_slowdowndetector.cpp
+++ b/tests/routing/test_slowdowndetector.cpp
@@ -62,7 +62,7 @@
 TEST_CASE("servers slower than their peers are found")
 {
     for (const auto& row : slowCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         SlowdownDetector detector;
         const auto servers = makeServers(row.servers);
         const auto now = observe(detector, servers, 0, 1, 10, start);
@@ -118,7 +118,7 @@
 TEST_CASE("a slow server is probed after growing intervals")
 {
     for (const auto& row : probeCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         SlowdownDetector detector;
         const auto servers = makeServers(12);
         const auto found = observe(detector, servers, 1, 5, 10, start);
@@ -150,7 +150,7 @@
 TEST_CASE("a server that fails is avoided for growing times")
 {
     for (const auto& row : failureCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         SlowdownDetector detector;
         const auto servers = makeServers(1);
         for (int failure = 0; failure < row.failures; ++failure)
--- a/tests/streams/test_leaving.cpp
+++ b/tests/streams/test_leaving.cpp
@@ -53,7 +53,7 @@
 TEST_CASE("a leaving engine gets no new work from any node")
 {
     for (const auto& row : leavingCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         ClusterOptions options;
         options.nodes = 3;
         Cluster cluster(options);
--- a/tests/streams/test_stops.cpp
+++ b/tests/streams/test_stops.cpp
@@ -35,7 +35,7 @@
 TEST_CASE("a node that stops leaves every caller with the whole answer")
 {
     for (const auto& row : stopCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         ClusterOptions options;
         options.nodes = 2;
         options.engines = 6;
--- a/tests/streams/test_streampolicies.cpp
+++ b/tests/streams/test_streampolicies.cpp
@@ -50,7 +50,7 @@
     const SpreadMovePolicy policy({ 0, 500 });
     const TimePoint noticed { 1h };
     for (const auto& row : moveCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const MovingStream stream { row.hash, row.tokensLeft, row.tokenGap, noticed, noticed + row.notice, row.abandonedMoves };
 
         const auto decision = policy.decide(stream, noticed + row.now);
@@ -79,7 +79,7 @@
     const SpreadMovePolicy policy({ 0, 500 });
     const TimePoint noticed { 1h };
     for (const auto& row : abandonCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const MovingStream stream { 0, 2000, 31ms, noticed, noticed + 10s, row.abandonedMoves };
         CHECK(policy.mayAbandon(stream, noticed + row.now) == row.mayAbandon);
     }
@@ -115,7 +115,7 @@
 TEST_CASE("silence is borne in proportion to the pace")
 {
     for (const auto& row : paceCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const TimePoint sent { 1h };
         StreamPace pace(sent, row.tokens);
         for (const auto piece : row.pieces)
@@ -155,7 +155,7 @@
 TEST_CASE("streams keep away from a silent server for a while")
 {
     for (const auto& row : silenceCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const TimePoint start { 1h };
         SilentServers servers;
         for (const auto& step : row.steps) {
@@ -210,7 +210,7 @@
 TEST_CASE("tokens are put in order")
 {
     for (const auto& row : assemblerCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         StreamAssembler assembler(row.first);
         for (const auto offset : row.received)
             CHECK_FALSE(assembler.add(offset, { static_cast<char>('a' + offset) }));
--- a/tests/streams/test_streams.cpp
+++ b/tests/streams/test_streams.cpp
@@ -31,7 +31,7 @@
 TEST_CASE("streams survive the reclaim of their engine")
 {
     for (const auto& row : reclaimCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         ClusterOptions options;
         options.hasProcessPerZone = true;
         options.engine = { { "export_tokens_per_second", row.exportRate } };
@@ -67,7 +67,7 @@
 
 const FaultCase faultCases[] = {
     { "silent before the first token", { { "frozen", true } }, false, 3000, 500 },
-    { "silent in the middle", { { "frozen", true } }, true, 1000, 2000 },
+    { "silent in the middle", { { "frozen", true } }, true, 1000, maxStall },
     { "out of order and twice", { { "shuffle", true } }, false, 1000, 500 },
     { "answers of another stream", { { "misroute", 100 } }, false, 1000, 500 },
 };
@@ -75,7 +75,7 @@
 TEST_CASE("each caller gets the whole answer to its own request from faulty engines")
 {
     for (const auto& row : faultCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         Cluster cluster({});
         REQUIRE(cluster.start());
         if (!row.afterFirstToken)
@@ -113,7 +113,7 @@
     cluster.engines(0).sendSignal(SIGCONT);
 
     checkRight(callers);
-    CHECK(Testkit::totalsOf(callers).longestStall.count() <= 2000);
+    CHECK(Testkit::totalsOf(callers).longestStall.count() <= maxStall);
     CHECK(cluster.client().waitUntil([&] { return runningOn(cluster, 0) == 0; }, 10s));
 }
 
@@ -143,4 +143,51 @@
     CHECK(Testkit::totalsOf(callers).asks == 4);
 }
 
+struct OnePieceCase {
+    std::string name;
+    bool isReclaimed; ///< Or falls silent.
+    std::int64_t prefillRate; ///< Tokens a second; a slow one gives a move up and tries again.
+};
+
+const OnePieceCase onePieceCases[] = {
+    { "reclaimed", true, 8000 },
+    { "reclaimed, slow to move", true, 50 },
+    { "silent and speaking again", false, 8000 },
+};
+
+TEST_CASE("an answer stays of one piece with engines that never choose the same tokens")
+{
+    for (const auto& row : onePieceCases) {
+        CAPTURE(std::string(row.name));
+        ClusterOptions options;
+        options.engine = { { "prefill_tokens_per_second", row.prefillRate } };
+        Cluster cluster(options);
+        REQUIRE(cluster.start());
+        const auto variants = { "a", "b", "c" };
+        std::size_t engine = 0;
+        for (const auto* variant : variants)
+            cluster.control(cluster.engine(engine++), { { "variant", variant } });
+        Callers callers;
+        for (int index = 0; index < 6; ++index)
+            addCaller(callers, cluster, { 0 }, 300, true);
+        REQUIRE(cluster.client().waitUntil([&] { return haveAllBegun(callers); }, 20s));
+
+        if (row.isReclaimed) {
+            notice(cluster, { Cluster::engineId(0) }, 5s);
+        } else {
+            cluster.control(cluster.engine(0), { { "frozen", true } });
+            const auto isAskedAgain = [&] { return metric(cluster, "second_attempts_total{reason=\"silence\"}") > 0; };
+            REQUIRE(cluster.client().waitUntil(isAskedAgain, 10s));
+            cluster.control(cluster.engine(0), { { "frozen", false } });
+        }
+
+        REQUIRE(cluster.client().waitUntil([&] { return areAllWhole(callers); }, 60s));
+        checkRight(callers);
+        const auto* reason = row.isReclaimed ? "reclaim" : "silence";
+        CHECK(metric(cluster, std::string("second_attempts_total{reason=\"") + reason + "\"}") > 0);
+        if (row.prefillRate < 100)
+            CHECK(metric(cluster, "moves_abandoned_total") > 0);
+    }
+}
+
 } // namespace
--- a/tests/subset/test_backendsubset.cpp
+++ b/tests/subset/test_backendsubset.cpp
@@ -104,7 +104,7 @@
 TEST_CASE("all servers get the same number of nodes and nearly the same load")
 {
     for (const auto& row : evennessCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto nodes = makeNodes(row.nodes, row.zones);
         const auto servers = makeServers(row.servers, row.zones);
         const auto evenness = evennessOf(nodes, servers, selectAll(nodes, servers));
@@ -161,7 +161,7 @@
 {
     const auto before = selectAll(makeNodes(340, 16), makeServers(1'500, 16));
     for (const auto& row : churnCases) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         const auto changed = changedPairs(before, selectAll(makeNodes(row.nodesAfter, 16), makeServers(row.serversAfter, 16)));
         CHECK(changed <= row.mostChangedPairs);
         MESSAGE(row.name, ": ", changed, " pairs changed");
