Streams: Let begun answers go on where there is no place for new work

The policy starts one long prompt at a time on a server, so four streams that move at once found no place, and each looked again only after another whole silence.

Ruled out: the load of the machine (the same alone), the retry budget (begun answers do not wait for it).

--- a/src/cli/backendcommands.cpp
+++ b/src/cli/backendcommands.cpp
@@ -65,12 +65,8 @@
 {
     ApiClient client(line);
     const auto answer = client.get("backend_servers");
-    if (line.isJson)
-        return printJson(answer);
-    if (!answer.isOk()) {
-        printFailure(answer);
-        return answer.exitCode();
-    }
+    if (const auto code = printUnlessText(line, answer))
+        return *code;
     std::vector<std::vector<std::string>> rows;
     for (const auto& server : answer.body().value("backend_servers", Json::array())) {
         const auto state = server.value("reclaim_noticed", false) ? "reclaim noticed" : textOf(server, "state");
--- a/src/cli/nodecommands.cpp
+++ b/src/cli/nodecommands.cpp
@@ -9,12 +9,8 @@
 {
     ApiClient client(line);
     const auto answer = client.get("nodes");
-    if (line.isJson)
-        return printJson(answer);
-    if (!answer.isOk()) {
-        printFailure(answer);
-        return answer.exitCode();
-    }
+    if (const auto code = printUnlessText(line, answer))
+        return *code;
     std::vector<std::vector<std::string>> rows;
     for (const auto& node : answer.body().value("nodes", nlohmann::json::array())) {
         const auto inForce = node.value("is_behind", false) ? "behind" : textOf(node, "digest");
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -83,12 +83,8 @@
 
 auto printChange(const CommandLine& line, const ApiAnswer& answer) -> ExitCode
 {
-    if (line.isJson)
-        return printJson(answer);
-    if (!answer.isOk()) {
-        printFailure(answer);
-        return answer.exitCode();
-    }
+    if (const auto code = printUnlessText(line, answer))
+        return *code;
     std::cout << "accepted: revision " << textOf(answer.body(), "revision") << " of " << textOf(answer.body(), "key") << "\n";
     return ExitCode::Success;
 }
@@ -107,6 +103,16 @@
     return answer.exitCode();
 }
 
+auto printUnlessText(const CommandLine& line, const ApiAnswer& answer) -> std::optional<ExitCode>
+{
+    if (line.isJson)
+        return printJson(answer);
+    if (answer.isOk())
+        return std::nullopt;
+    printFailure(answer);
+    return answer.exitCode();
+}
+
 auto textOf(const Json& json, const std::string& key) -> std::string
 {
     if (!json.is_object() || !json.contains(key))
--- a/src/cli/output.h
+++ b/src/cli/output.h
@@ -3,6 +3,7 @@
 #include "apiclient.h"
 #include "finding.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,12 @@
 /** Prints the answer as JSON, or why there is none; returns its exit code. */
 auto printJson(const ApiAnswer& answer) -> ExitCode;
 
+/**
+ * Prints \a answer as JSON when that was asked for, or why it is not a success,
+ * and returns the exit code. Returns nothing when it is to be shown as text.
+ */
+[[nodiscard]] auto printUnlessText(const CommandLine& line, const ApiAnswer& answer) -> std::optional<ExitCode>;
+
 /** Returns the value at \a key of \a json as text for a table. */
 [[nodiscard]] auto textOf(const nlohmann::json& json, const std::string& key) -> std::string;
 
--- a/src/cli/recordcommands.cpp
+++ b/src/cli/recordcommands.cpp
@@ -39,12 +39,8 @@
 {
     ApiClient client(line);
     const auto answer = client.get(this->kind);
-    if (line.isJson)
-        return printJson(answer);
-    if (!answer.isOk()) {
-        printFailure(answer);
-        return answer.exitCode();
-    }
+    if (const auto code = printUnlessText(line, answer))
+        return *code;
     std::vector<std::vector<std::string>> rows;
     for (const auto& record : answer.body().value(this->kind, Json::array()))
         rows.push_back({ textOf(record, "name"), textOf(record, "template"), textOf(record, "revision"), textOf(record, "author"), timeOf(record, "time_ms") });
@@ -58,12 +54,8 @@
         return ExitCode::Usage;
     ApiClient client(line);
     const auto answer = client.get(pathOf(this->kind, line));
-    if (line.isJson)
-        return printJson(answer);
-    if (!answer.isOk()) {
-        printFailure(answer);
-        return answer.exitCode();
-    }
+    if (const auto code = printUnlessText(line, answer))
+        return *code;
     std::cout << textOf(answer.body(), "name") << ", revision " << textOf(answer.body(), "revision") << " by " << textOf(answer.body(), "author")
               << " of " << timeOf(answer.body(), "time_ms") << "\n";
     if (answer.body().contains("template"))
@@ -78,12 +70,8 @@
         return ExitCode::Usage;
     ApiClient client(line);
     const auto answer = client.get(pathOf(this->kind, line) + "/history");
-    if (line.isJson)
-        return printJson(answer);
-    if (!answer.isOk()) {
-        printFailure(answer);
-        return answer.exitCode();
-    }
+    if (const auto code = printUnlessText(line, answer))
+        return *code;
     std::vector<std::vector<std::string>> rows;
     for (const auto& version : answer.body().value("versions", Json::array())) {
         const auto content = version.value("deleted", false) ? "deleted" : version["content"].dump();
--- a/src/libprimrosefork/productpolicy.cpp
+++ b/src/libprimrosefork/productpolicy.cpp
@@ -72,7 +72,7 @@
     this->lastLongWork = now;
     std::vector<Option> options;
     this->addSample(this->hasShortWork(now) ? candidates.longPlaces() : candidates.servers(), 2 * sampledServers, options);
-    if (request.waited < longestWait)
+    if (!request.isResumed && request.waited < longestWait)
         std::erase_if(options, [this](const Option& option) { return !this->hasLongPlace(*option.server); });
     return this->cheapest(request, candidates, options, now);
 }
--- a/src/libprimrosefork/routingpolicy.h
+++ b/src/libprimrosefork/routingpolicy.h
@@ -26,6 +26,7 @@
     std::uint64_t prefixHash = 0; ///< Of the start of the prompt; 0 when nothing can be shared.
     std::span<const std::uint64_t> prefixBlocks; ///< Of the prompt up to the end of each block, see prefixBlocks().
     std::chrono::milliseconds waited { 0 }; ///< Since the request came.
+    bool isResumed = false; ///< The caller has a part of the answer and waits for the rest.
     const std::set<std::string>* excluded = nullptr; ///< Ids of servers that are not to be chosen; null is none.
     std::int64_t priority = 5;
     std::string_view zone; ///< Of the deciding node.
--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -137,6 +137,7 @@
     result.prefixHash = this->prefixBlocks.empty() ? 0 : this->prefixBlocks.front();
     result.prefixBlocks = this->prefixBlocks;
     result.waited = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - this->request.received);
+    result.isResumed = this->nextOffset > this->request.offset;
     result.priority = this->request.service.parameters.priority;
     result.zone = this->context.settings.zone;
     return result;
@@ -376,14 +377,16 @@
         return this->watchSilence();
     if (awaited.pace().isSilent(EventLoop::now()))
         this->silentServers.fellSilent(awaited.backendServer().id, EventLoop::now());
-    if (!this->context.retries.retryDelay(this->retryRequest(this->failuresInRow + 1), EventLoop::now()))
+    if (!this->isSecondGranted && !this->context.retries.retryDelay(this->retryRequest(this->failuresInRow + 1), EventLoop::now()))
         return this->watchSilence();
+    this->isSecondGranted = true;
     if (this->second)
         this->promoteSecond(AttemptEnd::Stalled);
-    if (this->startSecond(SecondReason::Silence)) {
-        ++this->failuresInRow;
-        this->context.log.write(Event::StreamSilent, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "backend_server", this->first->backendServer().id }, { "asked", this->second->backendServer().id } });
-    }
+    if (!this->startSecond(SecondReason::Silence))
+        return this->silenceTimer.start(placePeriod);
+    this->isSecondGranted = false;
+    ++this->failuresInRow;
+    this->context.log.write(Event::StreamSilent, { { "stream", this->streamId }, { "offset", std::to_string(this->nextOffset) }, { "backend_server", this->first->backendServer().id }, { "asked", this->second->backendServer().id } });
     this->watchSilence();
 }
 
--- a/src/node/modelrun.h
+++ b/src/node/modelrun.h
@@ -102,6 +102,7 @@
     int unreadPieces = 0; ///< Sent since the caller had read everything.
     int attempts = 0;
     int failuresInRow = 0; ///< Since the last token.
+    bool isSecondGranted = false; ///< The retry policy has allowed a second attempt that found no server yet.
     int abandonedMoves = 0; ///< Of the first attempt's engine.
     bool hasEnded = false;
 };
--- a/tests/routing/test_productpolicy.cpp
+++ b/tests/routing/test_productpolicy.cpp
@@ -174,6 +174,20 @@
     CHECK(policy.choose(makeRequest(2, WorkClass::Long), list, start + 1s));
 }
 
+TEST_CASE("an answer that has begun goes on where there is no place for a new one")
+{
+    const auto servers = makeServers(1);
+    const auto list = makeList(servers);
+    ProductPolicy policy(1);
+    policy.requestSent(makeRequest(1, WorkClass::Long), servers[0], start);
+    auto request = makeRequest(2, WorkClass::Long);
+    CHECK_FALSE(policy.choose(request, list, start));
+
+    request.isResumed = true;
+
+    CHECK(policy.choose(request, list, start) == &servers[0]);
+}
+
 TEST_CASE("short work keeps away from places where long work runs")
 {
     const auto servers = makeServers(12);
