Node: Kept to the deadline of a notice that a peer told of

Cause: found by reading: a node that hears of its own reclaim from a peer first began a planned stop without the notice's deadline, up to `/timeouts/drain` long, and would have been taken with streams open. Ruled out: that the peers' notices lack the deadline; they carry the time remaining. Change: both ways of hearing go through one function with the deadline. Not proved: no test has a node whose notice only its peers see; the stop before a deadline itself is held by tests/streams/test_stops.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -80,13 +80,18 @@
     this->blackboard.peers.changed.connect([this](const Peers&) { this->shareChanged(); });
     this->shareChanged();
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) {
-        const auto own = current.find(this->settings.id);
-        if (own != current.end())
-            this->lifecycle.requestStopBefore(own->second.deadline, "reclaim notice", EventLoop::now());
+        this->heedOwnNotice(current, "reclaim notice");
         this->requests.reclaimNoticed();
     });
 }
 
+auto Node::heedOwnNotice(const ReclaimNotices& notices, const char* reason) -> void
+{
+    const auto own = notices.find(this->settings.id);
+    if (own != notices.end())
+        this->lifecycle.requestStopBefore(own->second.deadline, reason, EventLoop::now());
+}
+
 auto Node::shareChanged() -> void
 {
     auto nodes = std::max<std::size_t>(1, this->settings.peerSeeds.size());
@@ -101,10 +106,7 @@
     this->blackboard.configuration.changed.connect(
         [this](const Configuration&) { this->membership.setConfigurationRevision(this->configuration.recordsRevision()); });
     this->blackboard.reclaimNotices.changed.connect([this](const ReclaimNotices& current) { this->membership.announceNotices(current); });
-    this->blackboard.peerNotices.changed.connect([this](const ReclaimNotices& current) {
-        if (current.contains(this->settings.id))
-            this->lifecycle.requestStop("reclaim notice of a peer");
-    });
+    this->blackboard.peerNotices.changed.connect([this](const ReclaimNotices& current) { this->heedOwnNotice(current, "reclaim notice of a peer"); });
     this->blackboard.lifecycle.changed.connect([this](Lifecycle current) {
         if (current == Lifecycle::Draining)
             this->membership.leave();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -56,6 +56,7 @@
     auto addStateSources() -> void;
     auto connectPeers() -> void;
     auto shareChanged() -> void;
+    auto heedOwnNotice(const ReclaimNotices&, const char* reason) -> void;
     auto beginPeers() -> std::error_code;
 
     EventLoop& loop;
