--- /dev/null
+++ b/src/forwarding/backendconnection.cpp
@@ -0,0 +1,217 @@
+#include "backendconnection.h"
+
+#include "errors.h"
+#include "hopheaders.h"
+#include "socketoptions.h"
+#include "units.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< Of an answer; far above what servers send.
+constexpr std::chrono::milliseconds defaultKeepTime = 4s; ///< For servers that do not say how long they keep a connection.
+constexpr std::chrono::milliseconds keepMargin = 500ms; ///< For the way of the next request and the coarse unit in which servers tell their timeout.
+constexpr int firstFinalStatus = 200;
+constexpr int firstErrorStatus = 400;
+
+} // namespace
+
+BackendConnection::BackendConnection(
+    EventLoop& loop, const HeaderDialect& dialect, const Address& address, std::chrono::milliseconds connectTimeout, FreedHandler freed)
+    : loop(loop)
+    , dialect(dialect)
+    , freedHandler(std::move(freed))
+    , stream(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    , parser(MessageParser::Kind::Response,
+          { [this](const MessageHead& head) { this->headReceived(head); }, [this](std::string_view bytes) { this->bodyReceived(bytes); } }, maxHeadBytes)
+    , connectTimer(loop, [this] { this->connectionEnded(false); })
+{
+    bufferevent_setcb(
+        this->stream, [](bufferevent*, void* self) { static_cast<BackendConnection*>(self)->readable(); }, nullptr,
+        [](bufferevent*, short events, void* self) { static_cast<BackendConnection*>(self)->eventReceived(events); }, this);
+    evbuffer_add_cb(
+        bufferevent_get_output(this->stream),
+        [](evbuffer*, const evbuffer_cb_info* info, void* self) { static_cast<BackendConnection*>(self)->sentBytes += info->n_deleted; }, this);
+
+    sockaddr_in remote {};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &remote.sin_addr);
+    this->connectTimer.start(connectTimeout);
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    if (bufferevent_socket_connect(this->stream, reinterpret_cast<sockaddr*>(&remote), sizeof remote) != 0)
+        this->connectTimer.start(0ms);
+}
+
+BackendConnection::~BackendConnection()
+{
+    bufferevent_free(this->stream);
+}
+
+auto BackendConnection::send(const BackendMessage& message, CallHandlers callHandlers) -> void
+{
+    this->handlers = std::make_shared<CallHandlers>(std::move(callHandlers));
+    this->requestId = message.requestId;
+    this->isBusy = true;
+    this->isOwnAnswer = false;
+    this->isHeadRequest = message.method == "HEAD";
+    this->sentBytes = 0;
+    this->parser.reset(this->isHeadRequest);
+
+    auto head = message.method + " " + message.target + " HTTP/1.1\r\n";
+    for (const auto& header : message.headers)
+        head += header.name + ": " + header.value + "\r\n";
+    const auto hasBody = message.body && !message.body->empty();
+    if (hasBody || message.method == "POST" || message.method == "PUT")
+        head += "Content-Length: " + std::to_string(hasBody ? message.body->size() : 0) + "\r\n";
+    head += "\r\n";
+    bufferevent_write(this->stream, head.data(), head.size());
+    if (hasBody)
+        bufferevent_write(this->stream, message.body->data(), message.body->size());
+}
+
+auto BackendConnection::eventReceived(short events) -> void
+{
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+        this->isConnected = true;
+        this->connectTimer.stop();
+        sendWithoutDelay(bufferevent_getfd(this->stream));
+        detectSilence(bufferevent_getfd(this->stream));
+        return;
+    }
+    this->readable();
+    this->connectionEnded((events & BEV_EVENT_EOF) != 0);
+}
+
+auto BackendConnection::readable() -> void
+{
+    auto* input = bufferevent_get_input(this->stream);
+    while (!this->isBroken && evbuffer_get_length(input) > 0) {
+        // Nothing was asked: these bytes belong to no request.
+        if (!this->isBusy)
+            return this->free(false);
+        const auto size = evbuffer_get_contiguous_space(input);
+        const std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size))), size);
+        std::size_t taken = 0;
+        const auto result = this->parser.feed(bytes, taken);
+        evbuffer_drain(input, taken);
+        if (this->isBroken || result == ParseResult::NeedsMore)
+            continue;
+        if (result != ParseResult::Complete)
+            return this->finish(this->isOwnAnswer ? CallOutcome::Truncated : CallOutcome::Lost, false);
+        this->messageReceived();
+    }
+}
+
+auto BackendConnection::headReceived(const MessageHead& head) -> void
+{
+    this->isOwnAnswer = false;
+    if (head.status < firstFinalStatus)
+        return;
+    const auto reply = this->dialect.readReply(head.status, head.headers);
+    // A refusal may come before the server has read the id.
+    this->isOwnAnswer = reply.requestId ? *reply.requestId == this->requestId : head.status >= firstErrorStatus;
+    if (!this->isOwnAnswer)
+        return;
+    this->noteKeepAlive(head.headers);
+    const auto current = this->handlers;
+    if (current && current->onHead)
+        current->onHead(head, reply);
+}
+
+auto BackendConnection::noteKeepAlive(const HttpHeaders& headers) -> void
+{
+    constexpr std::string_view parameter = "timeout=";
+    std::chrono::milliseconds kept = defaultKeepTime;
+    if (const auto text = headers.get("Keep-Alive")) {
+        const auto place = text->find(parameter);
+        if (place != std::string::npos)
+            kept = std::chrono::seconds(std::strtol(text->c_str() + place + parameter.size(), nullptr, 10));
+    }
+    this->keepUntil = EventLoop::now() + kept - keepMargin;
+}
+
+auto BackendConnection::bodyReceived(std::string_view bytes) -> void
+{
+    const auto current = this->handlers;
+    if (this->isOwnAnswer && current && current->onBody)
+        current->onBody(bytes);
+}
+
+auto BackendConnection::messageReceived() -> void
+{
+    if (!this->isOwnAnswer) {
+        // An interim answer, or one to another request: ours is still to come.
+        this->parser.reset(this->isHeadRequest);
+        return;
+    }
+    const auto& head = this->parser.head();
+    const auto isSent = evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+    const auto hasRest = evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+    this->finish(CallOutcome::Complete, head.keepsAlive && head.hasLength && isSent && !hasRest);
+}
+
+auto BackendConnection::connectionEnded(bool isClean) -> void
+{
+    if (this->isBroken)
+        return;
+    if (!this->isBusy)
+        return this->free(false);
+    if (isClean && this->isOwnAnswer && this->parser.finish())
+        return this->finish(CallOutcome::Complete, false);
+    if (this->isOwnAnswer)
+        return this->finish(CallOutcome::Truncated, false);
+    this->finish(this->hasSentBytes() ? CallOutcome::Lost : CallOutcome::NotSent, false);
+}
+
+auto BackendConnection::cancel() -> void
+{
+    this->handlers.reset();
+    this->isBusy = false;
+    this->free(false);
+}
+
+auto BackendConnection::pauseReading() -> void
+{
+    bufferevent_disable(this->stream, EV_READ);
+}
+
+auto BackendConnection::resumeReading() -> void
+{
+    bufferevent_enable(this->stream, EV_READ);
+}
+
+auto BackendConnection::finish(CallOutcome outcome, bool isReusable) -> void
+{
+    if (!this->isBusy)
+        return;
+    this->isBusy = false;
+    const auto current = std::exchange(this->handlers, nullptr);
+    this->free(isReusable);
+    if (current && current->onDone)
+        current->onDone(outcome);
+}
+
+auto BackendConnection::free(bool isReusable) -> void
+{
+    if (this->isBroken)
+        return;
+    if (!isReusable) {
+        this->isBroken = true;
+        this->connectTimer.stop();
+        bufferevent_disable(this->stream, EV_READ | EV_WRITE);
+    }
+    this->freedHandler(*this, isReusable);
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/forwarding/callerconnection.cpp
@@ -0,0 +1,292 @@
+#include "callerconnection.h"
+
+#include "hopheaders.h"
+#include "socketoptions.h"
+#include "units.h"
+
+#include <array>
+#include <cstdio>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr int statusRequestTimeout = 408;
+constexpr int statusHeadTooLarge = 431;
+constexpr std::size_t streamBufferBytes = 64 * kibibyte; ///< Unread by the caller before its stream is held back.
+constexpr std::size_t readAheadBytes = 64 * kibibyte; ///< Of a next request while one is answered.
+constexpr std::chrono::milliseconds lingerTime = 1s; ///< For the caller to read the last answer and close.
+constexpr std::chrono::milliseconds longestWrite = 30s; ///< For a caller that reads nothing of its last answer.
+
+auto chunkHead(std::size_t size) -> std::string
+{
+    std::array<char, 24> text {};
+    const auto length = std::snprintf(text.data(), text.size(), "%zx\r\n", size);
+    return { text.data(), static_cast<std::size_t>(length) };
+}
+
+} // namespace
+
+CallerExchange::CallerExchange(CallerConnection& connection, CallerMessage message)
+    : connection(&connection)
+    , message(std::move(message))
+{
+}
+
+auto CallerExchange::respond(int status, const HttpHeaders& headers, std::string_view body) -> void
+{
+    if (!this->connection)
+        return;
+    auto* target = this->connection;
+    target->writeHead(status, headers, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    if (this->message.head.method != "HEAD")
+        bufferevent_write(target->stream, body.data(), body.size());
+    target->answered();
+}
+
+auto CallerExchange::beginStream(int status, const HttpHeaders& headers) -> void
+{
+    if (!this->connection)
+        return;
+    this->connection->isStreaming = true;
+    this->connection->writeHead(status, headers, "Transfer-Encoding: chunked\r\n");
+}
+
+auto CallerExchange::sendPiece(std::string_view piece) -> void
+{
+    if (!this->connection || piece.empty())
+        return;
+    auto* output = bufferevent_get_output(this->connection->stream);
+    const auto head = chunkHead(piece.size());
+    evbuffer_add(output, head.data(), head.size());
+    evbuffer_add(output, piece.data(), piece.size());
+    evbuffer_add(output, "\r\n", 2);
+}
+
+auto CallerExchange::endStream() -> void
+{
+    if (!this->connection)
+        return;
+    constexpr std::string_view lastChunk = "0\r\n\r\n";
+    bufferevent_write(this->connection->stream, lastChunk.data(), lastChunk.size());
+    this->connection->answered();
+}
+
+auto CallerExchange::abort() -> void
+{
+    if (!this->connection)
+        return;
+    auto* target = this->connection;
+    this->connection = nullptr;
+    target->exchange.reset();
+    target->closeAfterWriting();
+}
+
+auto CallerExchange::isCongested() const -> bool
+{
+    return this->connection && evbuffer_get_length(bufferevent_get_output(this->connection->stream)) > streamBufferBytes;
+}
+
+CallerConnection::CallerConnection(EventLoop& loop, int socket, const CallerLimits& limits, RequestHandler requestHandler, ClosedHandler closed)
+    : loop(loop)
+    , limits(limits)
+    , requestHandler(std::move(requestHandler))
+    , closedHandler(std::move(closed))
+    , stream(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    , parser(MessageParser::Kind::Request,
+          { [this](const MessageHead& head) { this->headReceived(head); }, [this](std::string_view bytes) { this->bodyReceived(bytes); } },
+          limits.headerBytes)
+    , timer(loop, [this] { this->timedOut(); })
+{
+    sendWithoutDelay(socket);
+    detectSilence(socket);
+    bufferevent_setcb(
+        this->stream,
+        [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->readable(); },
+        [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->written(); },
+        [](bufferevent*, short, void* self) { static_cast<CallerConnection*>(self)->ended(); }, this);
+    bufferevent_setwatermark(this->stream, EV_READ, 0, readAheadBytes);
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    this->timer.start(limits.idleTimeout);
+}
+
+CallerConnection::~CallerConnection()
+{
+    if (this->exchange)
+        this->exchange->connection = nullptr;
+    bufferevent_free(this->stream);
+}
+
+auto CallerConnection::readable() -> void
+{
+    if (this->state == State::Reading)
+        return this->parseInput();
+    if (this->state == State::Closing || this->state == State::Lingering) {
+        auto* input = bufferevent_get_input(this->stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+    }
+}
+
+auto CallerConnection::parseInput() -> void
+{
+    auto* input = bufferevent_get_input(this->stream);
+    while (this->state == State::Reading && evbuffer_get_length(input) > 0) {
+        if (!this->parser.hasBegun())
+            this->timer.start(this->limits.headerTimeout);
+        const auto size = evbuffer_get_contiguous_space(input);
+        const std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size))), size);
+        std::size_t taken = 0;
+        const auto result = this->parser.feed(bytes, taken);
+        evbuffer_drain(input, taken);
+        if (this->isTooLarge)
+            return this->reject(HttpStatus::tooLarge);
+        if (result == ParseResult::Malformed)
+            return this->reject(HttpStatus::badRequest);
+        if (result == ParseResult::HeadTooLarge)
+            return this->reject(statusHeadTooLarge);
+        if (result == ParseResult::Complete)
+            this->messageReceived();
+        else if (this->parser.hasHead())
+            this->timer.start(this->limits.idleTimeout);
+    }
+}
+
+auto CallerConnection::headReceived(const MessageHead& head) -> void
+{
+    this->incoming = {};
+    this->incoming.head = head;
+    this->incoming.received = EventLoop::now();
+    if (const auto length = head.headers.get("Content-Length"))
+        this->isTooLarge = std::strtoull(length->c_str(), nullptr, 10) > this->limits.bodyBytes;
+    const auto expect = head.headers.get("Expect");
+    if (!this->isTooLarge && expect && strcasecmp(expect->c_str(), "100-continue") == 0) {
+        constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(this->stream, proceed.data(), proceed.size());
+    }
+}
+
+auto CallerConnection::bodyReceived(std::string_view bytes) -> void
+{
+    if (this->incoming.body.size() + bytes.size() > this->limits.bodyBytes)
+        this->isTooLarge = true;
+    else
+        this->incoming.body += bytes;
+}
+
+auto CallerConnection::messageReceived() -> void
+{
+    this->timer.stop();
+    this->state = State::Answering;
+    this->isStreaming = false;
+    if (!this->incoming.head.keepsAlive)
+        this->closesAfterAnswer = true;
+    this->exchange = std::make_shared<CallerExchange>(*this, std::move(this->incoming));
+    this->incoming = {};
+    const auto current = this->exchange;
+    this->requestHandler(current);
+}
+
+auto CallerConnection::writeHead(int status, const HttpHeaders& headers, std::string_view framing) -> void
+{
+    auto text = statusLine(status);
+    for (const auto& header : headers)
+        text += header.name + ": " + header.value + "\r\n";
+    text += framing;
+    if (this->closesAfterAnswer)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    bufferevent_write(this->stream, text.data(), text.size());
+}
+
+auto CallerConnection::answered() -> void
+{
+    this->exchange->connection = nullptr;
+    this->exchange.reset();
+    if (this->closesAfterAnswer)
+        return this->closeAfterWriting();
+    this->state = State::Reading;
+    this->parser.reset();
+    this->timer.start(this->limits.idleTimeout);
+    // The next request may be in the buffer already; the caller of this function is still at work on this one.
+    bufferevent_trigger(this->stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+auto CallerConnection::reject(int status) -> void
+{
+    this->closesAfterAnswer = true;
+    this->writeHead(status, {}, "Content-Length: 0\r\n");
+    this->closeAfterWriting();
+}
+
+auto CallerConnection::closeAfterWriting() -> void
+{
+    this->state = State::Closing;
+    this->timer.start(longestWrite);
+    if (evbuffer_get_length(bufferevent_get_output(this->stream)) == 0)
+        this->written();
+}
+
+auto CallerConnection::written() -> void
+{
+    if (this->exchange && this->isStreaming) {
+        const auto current = this->exchange;
+        current->drained.emit();
+    }
+    if (this->state != State::Closing || evbuffer_get_length(bufferevent_get_output(this->stream)) > 0)
+        return;
+    this->state = State::Lingering;
+    shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+    this->timer.start(lingerTime);
+}
+
+auto CallerConnection::ended() -> void
+{
+    this->close();
+}
+
+auto CallerConnection::timedOut() -> void
+{
+    if (this->state == State::Reading && this->parser.hasBegun())
+        return this->reject(statusRequestTimeout);
+    this->close();
+}
+
+auto CallerConnection::closeIfIdle() -> void
+{
+    if (this->state == State::Reading && !this->parser.hasBegun() && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0)
+        this->close();
+}
+
+auto CallerConnection::isBusy() const -> bool
+{
+    return this->state == State::Answering || this->state == State::Closing || (this->state == State::Reading && this->parser.hasBegun())
+        || evbuffer_get_length(bufferevent_get_output(this->stream)) > 0;
+}
+
+auto CallerConnection::close() -> void
+{
+    if (this->state == State::Closed)
+        return;
+    this->state = State::Closed;
+    this->timer.stop();
+    bufferevent_disable(this->stream, EV_READ | EV_WRITE);
+    if (const auto current = std::exchange(this->exchange, nullptr)) {
+        current->connection = nullptr;
+        current->closed.emit();
+    }
+    this->loop.post([this] {
+        // The handler destroys the connection, and itself with it.
+        const auto handler = std::move(this->closedHandler);
+        handler(*this);
+    });
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/forwarding/callerlistener.cpp
@@ -0,0 +1,77 @@
+#include "callerlistener.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <utility>
+#include <vector>
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr int backlog = 1024; ///< Above the connections that a balancer opens in a moment's burst.
+
+} // namespace
+
+CallerListener::CallerListener(EventLoop& loop, CallerConnection::RequestHandler requestHandler)
+    : loop(loop)
+    , requestHandler(std::move(requestHandler))
+{
+}
+
+CallerListener::~CallerListener()
+{
+    if (this->listener)
+        evconnlistener_free(this->listener);
+}
+
+auto CallerListener::listen(const Address& address) -> std::error_code
+{
+    sockaddr_in local {};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &local.sin_addr);
+    this->listener = evconnlistener_new_bind(
+        this->loop.base(),
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) { static_cast<CallerListener*>(self)->accepted(socket); },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog, reinterpret_cast<sockaddr*>(&local), sizeof local);
+    return this->listener ? std::error_code() : std::error_code(errno, std::system_category());
+}
+
+auto CallerListener::accepted(int socket) -> void
+{
+    auto connection = std::make_unique<CallerConnection>(this->loop, socket, this->limits, this->requestHandler, [this](CallerConnection& closed) {
+        this->connections.erase(&closed);
+        this->connectionClosed.emit();
+    });
+    if (this->isDraining)
+        connection->closeAfterAnswer();
+    auto* key = connection.get();
+    this->connections.emplace(key, std::move(connection));
+}
+
+auto CallerListener::beginDrain() -> void
+{
+    this->isDraining = true;
+    for (const auto& [key, connection] : this->connections)
+        connection->closeAfterAnswer();
+}
+
+auto CallerListener::closeIdle() -> void
+{
+    if (this->listener)
+        evconnlistener_free(std::exchange(this->listener, nullptr));
+    for (const auto& [key, connection] : this->connections)
+        connection->closeIfIdle();
+}
+
+auto CallerListener::busyCount() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(), this->connections.end(), [](const auto& entry) { return entry.second->isBusy(); }));
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/forwarding/forwardrun.cpp
@@ -0,0 +1,398 @@
+#include "forwardrun.h"
+
+#include "eventlog.h"
+#include "hopheaders.h"
+#include "metrics.h"
+#include "units.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr int firstErrorStatus = 400;
+constexpr int firstServerErrorStatus = 500;
+constexpr std::size_t maxBufferedAnswer = 8 * mebibyte; ///< Of an answer that is not a stream; twice the largest request.
+constexpr std::chrono::milliseconds deadlineGrace = 100ms; ///< For a server's own answer at the deadline to arrive.
+constexpr std::chrono::milliseconds shortestDeadline = 5ms; ///< Below it a request is not worth sending.
+constexpr std::chrono::milliseconds defaultWait = 100ms; ///< For a server, when the route has no objective.
+constexpr int waitDivisor = 4; ///< Part of the objective that a request waits for a server.
+constexpr std::chrono::milliseconds retryAfter = 300ms; ///< Told with a refusal; engines that start or leave change within seconds.
+constexpr int maxAttempts = 8; ///< Bounds the tries at servers that refuse.
+constexpr std::int64_t lowestPriority = 9;
+constexpr std::int64_t routePriorities = 3; ///< Steps that route priorities share within one workspace priority.
+
+auto isEventStream(const HttpHeaders& headers) -> bool
+{
+    const auto type = headers.get("Content-Type");
+    return type && type->starts_with("text/event-stream");
+}
+
+auto toSeconds(std::chrono::milliseconds duration) -> std::string
+{
+    auto text = std::to_string(std::chrono::duration<double>(duration).count());
+    return text.substr(0, text.find('.') + 3);
+}
+
+auto priorityOf(const ForwardRequest& request) -> std::int64_t
+{
+    const auto route = std::min(request.route->priority, routePriorities - 1);
+    const auto workspace = request.workspace ? request.workspace->priority.value_or(0) : 0;
+    return std::min(lowestPriority, workspace * routePriorities + route);
+}
+
+auto millisecondsSince(EventLoop::TimePoint moment) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - moment);
+}
+
+} // namespace
+
+ForwardRun::ForwardRun(const ForwardContext& context, ForwardRequest request, std::shared_ptr<CallerExchange> callerExchange, std::function<void()> onEnd)
+    : context(context)
+    , details(std::move(request))
+    , exchange(std::move(callerExchange))
+    , onEnd(std::move(onEnd))
+    , deadlineTimer(context.loop, [this] { this->deadlineReached(); })
+    , body(std::make_shared<const std::string>(this->exchange->request().body))
+    , lastEventId(this->details.fields.lastEventId)
+    , isAlive(std::make_shared<bool>(true))
+{
+}
+
+ForwardRun::~ForwardRun()
+{
+    *this->isAlive = false;
+}
+
+auto ForwardRun::begin() -> void
+{
+    this->deadlineTimer.start(std::max<std::chrono::microseconds>(
+        0us, std::chrono::duration_cast<std::chrono::microseconds>(this->details.deadline + deadlineGrace - EventLoop::now())));
+    this->exchange->closed.connect([this, alive = this->isAlive] {
+        if (*alive)
+            this->callerGone();
+    });
+    this->exchange->drained.connect([this, alive = this->isAlive] {
+        if (*alive && this->attempt && this->attempt->call)
+            this->attempt->call->resume();
+    });
+    this->advance();
+}
+
+auto ForwardRun::advance() -> void
+{
+    if (this->phase != Phase::Waiting)
+        return;
+    const auto now = EventLoop::now();
+    if (const auto* server = this->context.servers.chooseServer(this->details, this->excluded, now))
+        return this->send(*server);
+    if (!this->excluded.empty())
+        return this->giveUp();
+    const auto objective = this->details.route->objective;
+    const auto longest = objective > 0ms ? objective / waitDivisor : defaultWait;
+    if (now - this->details.received >= longest)
+        this->giveUp();
+}
+
+auto ForwardRun::send(const BackendServer& server) -> void
+{
+    const auto now = EventLoop::now();
+    if (this->details.deadline - now < shortestDeadline)
+        return this->giveUp();
+    ++this->attempts;
+    this->phase = this->eventCount > 0 ? Phase::Streaming : Phase::Sent;
+    this->attempt.emplace();
+    this->attempt->server = server;
+    this->attempt->sent = now;
+    this->context.policy.requestSent(this->routingRequest(), server, now);
+    CallHandlers handlers;
+    const auto alive = this->isAlive;
+    handlers.onHead = [this, alive](const MessageHead& head, const ReplyFields& reply) {
+        if (*alive)
+            this->headReceived(head, reply);
+    };
+    handlers.onBody = [this, alive](std::string_view bytes) {
+        if (*alive)
+            this->bodyReceived(bytes);
+    };
+    handlers.onDone = [this, alive](CallOutcome outcome) {
+        if (*alive)
+            this->attemptEnded(outcome);
+    };
+    this->attempt->call = this->context.pool.send(server, this->makeMessage(server), std::move(handlers));
+}
+
+auto ForwardRun::makeMessage(const BackendServer& server) const -> BackendMessage
+{
+    const auto& head = this->exchange->request().head;
+    BackendFields fields;
+    fields.serverId = server.id;
+    fields.workspace = this->details.workspace ? this->details.workspace->name : "";
+    fields.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(this->details.deadline - EventLoop::now());
+    if (server.kind == BackendKind::Engine)
+        fields.priority = priorityOf(this->details);
+    fields.resumeAfter = this->lastEventId;
+    BackendMessage message;
+    message.method = head.method;
+    message.target = head.target;
+    message.headers = this->context.dialect.toBackend(withoutHopHeaders(head.headers), fields);
+    message.body = this->body;
+    message.requestId = this->details.fields.requestId;
+    return message;
+}
+
+auto ForwardRun::routingRequest() const -> RoutingRequest
+{
+    RoutingRequest request;
+    request.id = this->details.id;
+    request.promptTokens = this->details.fields.promptTokens;
+    request.expectedTokens = this->details.fields.outputTokens;
+    request.promptParts = this->details.fields.promptParts;
+    request.isResumed = this->lastEventId.has_value();
+    return request;
+}
+
+auto ForwardRun::headReceived(const MessageHead& head, const ReplyFields& reply) -> void
+{
+    auto& current = *this->attempt;
+    current.status = head.status;
+    current.headers = head.headers;
+    current.reply = reply;
+    current.isEventStream = head.status == HttpStatus::ok && isEventStream(head.headers);
+    if (reply.load)
+        this->context.policy.loadObserved(current.server, *reply.load, EventLoop::now());
+    if (!reply.isNotRun && !current.isEventStream)
+        this->noteBegan(millisecondsSince(current.sent));
+}
+
+auto ForwardRun::bodyReceived(std::string_view bytes) -> void
+{
+    auto& current = *this->attempt;
+    if (!current.isEventStream) {
+        if (current.body.size() + bytes.size() <= maxBufferedAnswer)
+            current.body += bytes;
+        return;
+    }
+    if (!current.reply.isSealed)
+        return;
+    current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
+    if (this->exchange->isCongested())
+        current.call->pause();
+}
+
+auto ForwardRun::eventReceived(const StreamEvent& event) -> void
+{
+    auto& current = *this->attempt;
+    const auto now = EventLoop::now();
+    if (!current.hasEvent) {
+        current.hasEvent = true;
+        this->context.policy.firstPieceReceived(this->routingRequest(), current.server, now);
+        this->noteBegan(0ms);
+    } else {
+        this->context.policy.pieceReceived(this->routingRequest(), current.server, 1, now);
+    }
+    if (this->phase == Phase::Sent) {
+        this->phase = Phase::Streaming;
+        this->context.metrics.observe("first_event_seconds", now - this->details.received);
+        this->exchange->beginStream(current.status, withoutHopHeaders(current.headers));
+    }
+    if (event.id)
+        this->lastEventId = std::string(*event.id);
+    ++this->eventCount;
+    this->exchange->sendPiece(event.text);
+}
+
+auto ForwardRun::attemptEnded(CallOutcome outcome) -> void
+{
+    auto& current = *this->attempt;
+    current.call.reset();
+    const auto hasAnswer = outcome == CallOutcome::Complete && current.body.size() <= maxBufferedAnswer;
+    if (hasAnswer && current.reply.isNotRun)
+        return this->attemptRefused(current);
+    const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
+    const auto isSound = current.reply.isSealed && !current.headers.get("Content-Encoding") && !current.events.hasPartialEvent();
+    if (hasAnswer && (!isSuccess || isSound))
+        return this->answerCompleted(current);
+    this->attemptBroken(current, outcome);
+}
+
+auto ForwardRun::answerCompleted(Attempt& current) -> void
+{
+    if (current.status < firstServerErrorStatus || current.isEventStream) {
+        this->endAttempt(AttemptEnd::Finished);
+        return this->passOn(current);
+    }
+    // The server ran the request and failed it.
+    ++this->runs;
+    this->endAttempt(AttemptEnd::Finished);
+    this->excluded.insert(current.server.id);
+    if (this->phase == Phase::Sent && this->details.isRepeatable() && this->retry(true))
+        return;
+    this->passOn(current);
+}
+
+auto ForwardRun::passOn(const Attempt& current) -> void
+{
+    if (this->phase == Phase::Streaming) {
+        if (current.isEventStream) {
+            this->exchange->endStream();
+            this->noteOutcome(current.status, "");
+        } else {
+            // Another engine was asked for the rest and answered with a failure.
+            this->exchange->abort();
+            this->noteOutcome(0, "rest_failed");
+        }
+        return this->finish();
+    }
+    this->exchange->respond(current.status, withoutHopHeaders(current.headers), current.body);
+    this->noteOutcome(current.status, "");
+    this->finish();
+}
+
+auto ForwardRun::attemptRefused(const Attempt& current) -> void
+{
+    this->endAttempt(AttemptEnd::Cancelled);
+    this->excluded.insert(current.server.id);
+    if (current.reply.isOtherServer)
+        this->context.servers.serverMoved(current.server.id);
+    this->context.log.write(Event::AttemptRefused,
+        { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "status", std::to_string(current.status) } });
+    if (!this->retry(true))
+        this->giveUp();
+}
+
+auto ForwardRun::attemptBroken(const Attempt& current, CallOutcome outcome) -> void
+{
+    const auto mayHaveRun = outcome != CallOutcome::NotSent;
+    this->context.log.write(Event::AttemptFailed,
+        { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", mayHaveRun ? "unknown" : "not sent" },
+            { "status", std::to_string(current.status) }, { "events", std::to_string(this->eventCount) } });
+    this->endAttempt(AttemptEnd::Failed);
+    this->excluded.insert(current.server.id);
+    if (mayHaveRun) {
+        ++this->runs;
+        this->noteBegan(millisecondsSince(current.sent));
+    }
+    if ((!mayHaveRun || this->details.isRepeatable()) && this->retry(mayHaveRun))
+        return;
+    this->giveUp();
+}
+
+auto ForwardRun::retry(bool countsAsArrival) -> bool
+{
+    const auto now = EventLoop::now();
+    if (this->attempts >= maxAttempts || this->runs >= this->details.route->maxAttempts || this->details.deadline - now < shortestDeadline)
+        return false;
+    if (countsAsArrival && !this->context.servers.takeAttempt(this->details.service->name, now))
+        return false;
+    const auto* server = this->context.servers.chooseServer(this->details, this->excluded, now);
+    if (!server)
+        return false;
+    this->send(*server);
+    return true;
+}
+
+auto ForwardRun::giveUp() -> void
+{
+    if (this->phase == Phase::Streaming) {
+        this->exchange->abort();
+        this->noteOutcome(0, "broken_off");
+        return this->finish();
+    }
+    if (this->runs == 0)
+        return this->refuse("no_server");
+    this->fail(HttpStatus::badGateway, "server_lost");
+}
+
+auto ForwardRun::refuse(const char* reason) -> void
+{
+    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", toSeconds(retryAfter) } }, "");
+    this->noteOutcome(HttpStatus::unavailable, reason);
+    this->finish();
+}
+
+auto ForwardRun::fail(int status, const char* reason) -> void
+{
+    this->exchange->respond(status, {}, "");
+    this->noteOutcome(status, reason);
+    this->finish();
+}
+
+auto ForwardRun::deadlineReached() -> void
+{
+    if (this->phase == Phase::Over)
+        return;
+    const auto wasSent = this->attempt && this->attempt->call;
+    if (wasSent) {
+        ++this->runs;
+        this->noteBegan(millisecondsSince(this->attempt->sent));
+        this->attempt->call->cancel();
+        this->endAttempt(AttemptEnd::Stalled);
+    }
+    if (this->phase == Phase::Streaming || this->runs == 0)
+        return this->giveUp();
+    this->fail(HttpStatus::gatewayTimeout, "deadline");
+}
+
+auto ForwardRun::callerGone() -> void
+{
+    if (this->phase == Phase::Over)
+        return;
+    if (this->attempt && this->attempt->call) {
+        this->attempt->call->cancel();
+        this->endAttempt(AttemptEnd::Cancelled);
+    }
+    this->noteOutcome(0, "caller_gone");
+    this->finish();
+}
+
+auto ForwardRun::noteBegan(std::chrono::milliseconds ago) -> void
+{
+    if (std::exchange(this->hasBegun, true) || !this->details.workspace)
+        return;
+    this->context.requestBegan(this->details.workspace->name, ago);
+}
+
+auto ForwardRun::noteOutcome(int status, const char* reason) const -> void
+{
+    const std::string_view outcome(reason);
+    this->context.metrics.count("requests_total{route=\"" + this->details.route->name + "\",status=\"" + std::to_string(status) + "\",reason=\"" + reason + "\"}");
+    this->context.metrics.observe("request_seconds", EventLoop::now() - this->details.received);
+    this->context.log.write(outcome.empty() ? Event::RequestAnswered : Event::RequestNotAnswered,
+        { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "status", std::to_string(status) }, { "reason", reason },
+            { "backend", this->attempt ? this->attempt->server.id : "" }, { "ms", std::to_string(this->age().count()) },
+            { "attempts", std::to_string(this->attempts) }, { "runs", std::to_string(this->runs) }, { "events", std::to_string(this->eventCount) },
+            { "configuration", std::to_string(this->details.table->configuration().version) } });
+}
+
+auto ForwardRun::endAttempt(AttemptEnd end) -> void
+{
+    this->attempt->call.reset();
+    this->context.policy.requestEnded(this->routingRequest(), this->attempt->server, end, EventLoop::now());
+}
+
+auto ForwardRun::age() const -> std::chrono::milliseconds
+{
+    return millisecondsSince(this->details.received);
+}
+
+auto ForwardRun::finish() -> void
+{
+    this->phase = Phase::Over;
+    this->deadlineTimer.stop();
+    this->onEnd();
+}
+
+auto ForwardRun::dumpState() const -> nlohmann::json
+{
+    return { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "age_ms", this->age().count() },
+        { "backend", this->attempt ? this->attempt->server.id : "" }, { "attempts", this->attempts }, { "events", this->eventCount } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/forwarding/hopheaders.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "httpmessage.h"
+
+#include <string>
+
+namespace Primrosefork {
+
+/** Returns \a headers without those that concern one connection only, and without the length of the body. */
+[[nodiscard]] auto withoutHopHeaders(const HttpHeaders& headers) -> HttpHeaders;
+
+/** Returns the first line of a response with \a status, and its end. */
+[[nodiscard]] auto statusLine(int status) -> std::string;
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/forwarding/messageparser.cpp
@@ -0,0 +1,137 @@
+#include "messageparser.h"
+
+#include <http_parser.h>
+#include <utility>
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr int skipBody = 1; ///< Answer of the library's callback for a message without a body.
+
+} // namespace
+
+MessageParser::MessageParser(Kind kind, ParseHandlers handlers, std::size_t maxHeadBytes)
+    : kind(kind)
+    , handlers(std::move(handlers))
+    , maxHeadBytes(maxHeadBytes)
+    , parser(std::make_unique<http_parser>())
+{
+    this->reset();
+}
+
+MessageParser::~MessageParser() = default;
+
+auto MessageParser::self(http_parser* parser) -> MessageParser*
+{
+    return static_cast<MessageParser*>(parser->data);
+}
+
+auto MessageParser::settings() -> const http_parser_settings&
+{
+    static const auto callbacks = [] {
+        http_parser_settings result {};
+        result.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+            self(parser)->current.target.append(at, length);
+            return 0;
+        };
+        result.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+            self(parser)->addHeaderField({ at, length });
+            return 0;
+        };
+        result.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+            self(parser)->addHeaderValue({ at, length });
+            return 0;
+        };
+        result.on_headers_complete = [](http_parser* parser) { return self(parser)->headCompleted(); };
+        result.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+            self(parser)->handlers.onBody({ at, length });
+            return 0;
+        };
+        result.on_message_complete = [](http_parser* parser) {
+            self(parser)->isWhole = true;
+            // Stops before the bytes of the next message.
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return result;
+    }();
+    return callbacks;
+}
+
+auto MessageParser::reset(bool bodiless) -> void
+{
+    http_parser_init(this->parser.get(), this->kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser->data = this;
+    this->current = {};
+    this->fieldName.clear();
+    this->fieldValue.clear();
+    this->isInValue = false;
+    this->headBytes = 0;
+    this->isHeadWhole = false;
+    this->isWhole = false;
+    this->isBodiless = bodiless;
+}
+
+auto MessageParser::feed(std::string_view bytes, std::size_t& taken) -> ParseResult
+{
+    const auto wasHeadWhole = this->isHeadWhole;
+    taken = http_parser_execute(this->parser.get(), &settings(), bytes.data(), bytes.size());
+    if (!wasHeadWhole)
+        this->headBytes += taken;
+    const auto error = HTTP_PARSER_ERRNO(this->parser.get());
+    if (this->isWhole && (error == HPE_PAUSED || error == HPE_OK))
+        return ParseResult::Complete;
+    if (!this->isHeadWhole && (this->headBytes > this->maxHeadBytes || error == HPE_HEADER_OVERFLOW))
+        return ParseResult::HeadTooLarge;
+    return error == HPE_OK ? ParseResult::NeedsMore : ParseResult::Malformed;
+}
+
+auto MessageParser::finish() -> bool
+{
+    if (!this->isHeadWhole || this->isWhole)
+        return this->isWhole;
+    std::size_t taken = 0;
+    return this->feed({}, taken) == ParseResult::Complete;
+}
+
+auto MessageParser::addHeaderField(std::string_view text) -> void
+{
+    if (this->isInValue)
+        this->flushHeader();
+    this->fieldName += text;
+}
+
+auto MessageParser::addHeaderValue(std::string_view text) -> void
+{
+    this->isInValue = true;
+    this->fieldValue += text;
+}
+
+auto MessageParser::flushHeader() -> void
+{
+    if (!this->fieldName.empty())
+        this->current.headers.add(std::exchange(this->fieldName, {}), std::exchange(this->fieldValue, {}));
+    this->isInValue = false;
+}
+
+auto MessageParser::headCompleted() -> int
+{
+    if (this->isHeadWhole)
+        return 0; // After the trailers of a chunked body.
+    this->flushHeader();
+    this->isHeadWhole = true;
+    if (this->kind == Kind::Request)
+        this->current.method = http_method_str(static_cast<http_method>(this->parser->method));
+    else
+        this->current.status = static_cast<int>(this->parser->status_code);
+    this->parser->upgrade = 0; // Other protocols are not offered: the message is read like any other.
+    this->current.keepsAlive = http_should_keep_alive(this->parser.get()) != 0;
+    const auto hasContentLength = (this->parser->flags & F_CONTENTLENGTH) != 0;
+    const auto isChunked = (this->parser->flags & F_CHUNKED) != 0;
+    this->current.hasLength = this->isBodiless || hasContentLength || isChunked;
+    this->handlers.onHead(this->current);
+    return this->isBodiless ? skipBody : 0;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/coordinationcontroller.cpp
@@ -0,0 +1,199 @@
+#include "coordinationcontroller.h"
+
+#include "eventlog.h"
+#include "hash.h"
+#include "metrics.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr auto peerKeyKey = "primrosefork/peer-key";
+constexpr std::size_t secretBytes = 32;
+constexpr std::chrono::milliseconds keyRetry = 500ms;
+constexpr std::chrono::milliseconds reportPeriod = 500ms; ///< A tenth of an accounting window, and several within a quota's.
+constexpr auto nodeMemory = 3s; ///< Since its last report, after which a node has no share any more.
+constexpr auto countMemory = 30s; ///< Since its last report, while a node's counts may still be due.
+constexpr double evenPart = 0.25; ///< Of each quota that is shared equally, for nodes whose demand is new.
+
+auto askedOf(const NodeReport& report, const std::string& workspace) -> double
+{
+    for (const auto& entry : report.workspaces) {
+        if (entry.workspace == workspace)
+            return entry.askedPerSecond;
+    }
+    return 0;
+}
+
+} // namespace
+
+CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
+    Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    : loop(loop)
+    , store(store)
+    , settings(settings)
+    , board(board)
+    , metrics(metrics)
+    , log(log)
+    , reportSource(std::move(reportSource))
+    , share(board.fleetShare.acquireWriter("CoordinationController"))
+    , socket(loop, [this](const Address& sender, std::span<const std::uint8_t> datagram) { this->received(sender, datagram); })
+    , keyTimer(loop, [this] { this->fetchKey(); })
+    , reportTimer(loop, [this] { this->report(); })
+    , session(hash64(randomHex(8)))
+    , isAlive(std::make_shared<bool>(true))
+{
+}
+
+CoordinationController::~CoordinationController()
+{
+    *this->isAlive = false;
+}
+
+auto CoordinationController::begin() -> std::error_code
+{
+    if (const auto error = this->socket.bind(this->settings.peers))
+        return error;
+    this->fetchKey();
+    this->reportTimer.startRepeating(reportPeriod);
+    return {};
+}
+
+auto CoordinationController::fetchKey() -> void
+{
+    this->store.get(peerKeyKey, [this, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
+        if (!*alive)
+            return;
+        if (error)
+            return this->keyTimer.start(keyRetry);
+        entry ? this->setKey(entry->value) : this->createKey();
+    });
+}
+
+auto CoordinationController::createKey() -> void
+{
+    this->store.compareAndSwap({ peerKeyKey, 0, randomHex(secretBytes), 0 }, [this, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+        if (!*alive)
+            return;
+        if (error || result.current.value.empty())
+            return this->keyTimer.start(keyRetry);
+        this->setKey(result.current.value);
+    });
+}
+
+auto CoordinationController::setKey(const std::string& secret) -> void
+{
+    this->keyring.emplace(std::vector<PeerKey> { { 1, secret } });
+}
+
+auto CoordinationController::report() -> void
+{
+    const auto& leadership = this->board.leadership.value();
+    FleetMessage message;
+    message.report = this->reportSource();
+    if (leadership.isOwn) {
+        message.sender = this->settings.id;
+        message.session = this->session;
+        message.sequence = ++this->sequence;
+        static_cast<void>(this->takeReport(message));
+        return this->takeAnswer(this->answerFor(this->settings.id));
+    }
+    if (leadership.leaderAddress.port != 0)
+        this->send(leadership.leaderAddress, std::move(message));
+}
+
+auto CoordinationController::send(const Address& recipient, FleetMessage message) -> void
+{
+    if (!this->keyring)
+        return;
+    message.sender = this->settings.id;
+    message.session = this->session;
+    message.sequence = ++this->sequence;
+    const auto datagram = this->keyring->sign(encodeFleetMessage(message), recipient.toString());
+    this->metrics.count("peer_sent_bytes_total", datagram.size());
+    this->socket.send(recipient, datagram);
+}
+
+auto CoordinationController::received(const Address& sender, std::span<const std::uint8_t> datagram) -> void
+{
+    this->metrics.count("peer_received_bytes_total", datagram.size());
+    if (!this->keyring || this->keyring->verify(datagram, this->settings.peers.toString()) != SignatureVerdict::Authentic)
+        return this->metrics.count("peer_refused_datagrams_total");
+    const auto body = PeerKeyring::bodyOf(datagram);
+    const auto message = decodeFleetMessage({ reinterpret_cast<const char*>(body.data()), body.size() });
+    if (!message)
+        return this->metrics.count("peer_refused_datagrams_total");
+    if (message->answer)
+        return this->takeAnswer(*message->answer);
+    if (!this->board.leadership.value().isOwn || !this->takeReport(*message))
+        return;
+    FleetMessage answer;
+    answer.answer = this->answerFor(message->sender);
+    this->send(sender, std::move(answer));
+}
+
+auto CoordinationController::takeReport(const FleetMessage& message) -> bool
+{
+    auto& node = this->known[message.sender];
+    // A datagram that was overtaken says nothing new.
+    if (!message.report || (node.session == message.session && message.sequence <= node.sequence))
+        return false;
+    node.session = message.session;
+    node.sequence = message.sequence;
+    node.report = *message.report;
+    node.heard = EventLoop::now();
+    std::erase_if(this->known, [now = node.heard](const auto& entry) { return now - entry.second.heard > countMemory; });
+    return true;
+}
+
+auto CoordinationController::liveNodes() const -> std::size_t
+{
+    const auto now = EventLoop::now();
+    return static_cast<std::size_t>(
+        std::count_if(this->known.begin(), this->known.end(), [now](const auto& entry) { return now - entry.second.heard < nodeMemory; }));
+}
+
+auto CoordinationController::answerFor(const std::string& nodeId) const -> FleetAnswer
+{
+    FleetAnswer answer;
+    const auto now = EventLoop::now();
+    const auto nodes = std::max<std::size_t>(1, this->liveNodes());
+    answer.nodes = static_cast<std::uint32_t>(nodes);
+    const auto node = this->known.find(nodeId);
+    const auto& traffic = this->board.traffic.value();
+    if (node == this->known.end() || !traffic.table)
+        return answer;
+    for (const auto& workspace : traffic.table->configuration().workspaces) {
+        double total = 0;
+        for (const auto& [id, other] : this->known) {
+            if (now - other.heard < nodeMemory)
+                total += askedOf(other.report, workspace.name);
+        }
+        const auto even = 1.0 / static_cast<double>(nodes);
+        const auto part = total > 0 ? askedOf(node->second.report, workspace.name) / total : even;
+        answer.shares.push_back({ workspace.name, evenPart * even + (1 - evenPart) * part });
+    }
+    return answer;
+}
+
+auto CoordinationController::takeAnswer(const FleetAnswer& answer) -> void
+{
+    FleetShare current;
+    current.nodes = std::max<std::size_t>(1, answer.nodes);
+    for (const auto& entry : answer.shares)
+        current.quotaShares[entry.workspace] = entry.share;
+    this->metrics.setGauge("nodes_live", static_cast<double>(current.nodes));
+    this->share.write(std::move(current));
+}
+
+auto CoordinationController::dumpState() const -> nlohmann::json
+{
+    return { { "nodes", this->share.value().nodes }, { "known", this->known.size() }, { "has_key", this->keyring.has_value() } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/coordinationcontroller.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "eventloop.h"
+#include "fleetmessage.h"
+#include "gatewayboard.h"
+#include "gatewaysettings.h"
+#include "keyvaluestore.h"
+#include "peerkeyring.h"
+#include "statesource.h"
+#include "udpsocket.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+
+namespace Primrosefork {
+
+class EventLog;
+class Metrics;
+
+/** What the leader knows of one node. */
+struct KnownNode {
+    NodeReport report;
+    EventLoop::TimePoint heard;
+    std::uint64_t session = 0;
+    std::uint32_t sequence = 0;
+};
+
+/** What the leader knows of all nodes, by their ids. */
+using KnownNodes = std::map<std::string, KnownNode>;
+
+/**
+ * Carries the nodes' reports to the leader and its answers back, by datagrams
+ * that are authenticated with a key which the nodes keep in the store.
+ */
+class CoordinationController : public StateSource {
+public:
+    using ReportSource = std::function<NodeReport()>;
+
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, Metrics&, const EventLog&, ReportSource);
+    ~CoordinationController() override;
+
+    auto begin() -> std::error_code;
+
+    /** Returns what is known of the nodes; of use on the leader. */
+    [[nodiscard]] auto nodes() const -> const KnownNodes& { return this->known; }
+
+    [[nodiscard]] auto stateName() const -> std::string override { return "coordination"; }
+    [[nodiscard]] auto dumpState() const -> nlohmann::json override;
+
+private:
+    auto fetchKey() -> void;
+    auto createKey() -> void;
+    auto setKey(const std::string& secret) -> void;
+    auto report() -> void;
+    auto received(const Address& sender, std::span<const std::uint8_t> datagram) -> void;
+    auto takeReport(const FleetMessage&) -> bool;
+    auto takeAnswer(const FleetAnswer&) -> void;
+    [[nodiscard]] auto answerFor(const std::string& nodeId) const -> FleetAnswer;
+    [[nodiscard]] auto liveNodes() const -> std::size_t;
+    auto send(const Address&, FleetMessage) -> void;
+
+    EventLoop& loop;
+    KeyValueStore& store;
+    const GatewaySettings& settings;
+    GatewayBoard& board;
+    Metrics& metrics;
+    const EventLog& log;
+    ReportSource reportSource;
+    SectionWriter<FleetShare> share;
+    UdpSocket socket;
+    Timer keyTimer;
+    Timer reportTimer;
+    std::optional<PeerKeyring> keyring;
+    KnownNodes known;
+    std::uint64_t session;
+    std::uint32_t sequence = 0;
+    std::shared_ptr<bool> isAlive;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/dutycontroller.cpp
@@ -0,0 +1,190 @@
+#include "dutycontroller.h"
+
+#include "errors.h"
+#include "eventlog.h"
+#include "metrics.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto usageKey = "primrosefork/usage";
+constexpr std::chrono::milliseconds tickPeriod = 500ms;
+constexpr std::chrono::milliseconds gatherTime = 1'700ms; ///< After a window's end: two reports of each node and their way.
+constexpr std::size_t keptWindows = 6; ///< In the record; older ones are not due any more.
+
+} // namespace
+
+DutyController::DutyController(EventLoop& loop, KeyValueStore& store, FleetApi& fleet, const GatewaySettings& settings, GatewayBoard& board,
+    const CoordinationController& coordination, LeadershipController& leadership, const WallClock& clock, Metrics& metrics, const EventLog& log)
+    : store(store)
+    , fleet(fleet)
+    , settings(settings)
+    , board(board)
+    , coordination(coordination)
+    , leadership(leadership)
+    , clock(clock)
+    , metrics(metrics)
+    , log(log)
+    , timer(loop, [this] { this->tick(); })
+    , isAlive(std::make_shared<bool>(true))
+{
+}
+
+DutyController::~DutyController()
+{
+    *this->isAlive = false;
+}
+
+auto DutyController::begin() -> void
+{
+    this->timer.startRepeating(tickPeriod);
+}
+
+auto DutyController::isActing() const -> bool
+{
+    const auto& current = this->board.leadership.value();
+    return current.isOwn && BootClock::now() < current.validUntil;
+}
+
+auto DutyController::windowAt(WallClock::Wall at) const -> UsageWindow
+{
+    return at / this->settings.bounds.usageWindow;
+}
+
+auto DutyController::isDue(UsageWindow window, WallClock::Wall at) const -> bool
+{
+    const auto end = (window + 1) * this->settings.bounds.usageWindow;
+    return at >= end + gatherTime && at < end + this->settings.bounds.usageDue;
+}
+
+auto DutyController::tick() -> void
+{
+    if (!this->isActing()) {
+        this->record = {};
+        return;
+    }
+    const auto currentFence = this->board.leadership.value().fence;
+    if (this->fence != currentFence) {
+        this->fence = currentFence;
+        this->record = {};
+        this->isStoring = false;
+    }
+    if (!this->record.isKnown)
+        return this->fetchRecord();
+    const auto now = this->clock.at(EventLoop::now());
+    for (auto window = this->windowAt(now) - static_cast<UsageWindow>(keptWindows); window < this->windowAt(now); ++window) {
+        if (!this->isDue(window, now) || this->reported.contains(window))
+            continue;
+        if (this->record.windows.contains(window))
+            this->send(window);
+        else
+            this->settle(window);
+    }
+}
+
+auto DutyController::fetchRecord() -> void
+{
+    this->store.get(usageKey, [this, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
+        if (*alive && !error)
+            this->readRecord(entry);
+    });
+}
+
+auto DutyController::readRecord(const std::optional<StoreEntry>& entry) -> void
+{
+    Record read;
+    read.isKnown = true;
+    if (entry) {
+        read.revision = entry->revision;
+        const auto json = Json::parse(entry->value, nullptr, false);
+        if (json.is_object()) {
+            for (const auto& [window, counts] : json.items())
+                read.windows[std::strtoll(window.c_str(), nullptr, 10)] = counts.template get<UsageCounts>();
+        }
+    }
+    this->record = std::move(read);
+}
+
+auto DutyController::sumOf(UsageWindow window) const -> UsageCounts
+{
+    UsageCounts sum;
+    if (const auto& table = this->board.traffic.value().table) {
+        for (const auto& workspace : table->configuration().workspaces)
+            sum[workspace.name] = 0;
+    }
+    for (const auto& [id, node] : this->coordination.nodes()) {
+        for (const auto& entry : node.report.windows) {
+            if (entry.window != window)
+                continue;
+            for (const auto& [workspace, count] : entry.counts)
+                sum[workspace] += count;
+        }
+    }
+    return sum;
+}
+
+auto DutyController::settle(UsageWindow window) -> void
+{
+    if (this->isStoring)
+        return;
+    this->isStoring = true;
+    auto windows = this->record.windows;
+    windows[window] = this->sumOf(window);
+    while (windows.size() > keptWindows)
+        windows.erase(windows.begin());
+    Json json = Json::object();
+    for (const auto& [number, counts] : windows)
+        json[std::to_string(number)] = counts;
+    this->store.compareAndSwap({ usageKey, this->record.revision, json.dump(), 0 },
+        [this, window, windows, used = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+            if (!*alive || used != this->fence)
+                return;
+            this->isStoring = false;
+            // Another outcome than a clear success: what the store holds decides.
+            if (error || !result.isSwapped) {
+                this->record = {};
+                return;
+            }
+            this->record.windows = windows;
+            this->record.revision = result.current.revision;
+            if (this->isActing())
+                this->send(window);
+        });
+}
+
+auto DutyController::send(UsageWindow window) -> void
+{
+    if (!this->sending.insert(window).second)
+        return;
+    const DutyMark mark { this->settings.id, this->fence };
+    this->fleet.reportUsage(mark, window, this->record.windows[window], [this, window, used = this->fence, alive = this->isAlive](std::error_code error) {
+        if (!*alive)
+            return;
+        this->sending.erase(window);
+        if (!error) {
+            this->reported.insert(window);
+            while (this->reported.size() > 2 * keptWindows)
+                this->reported.erase(this->reported.begin());
+            this->metrics.count("usage_reports_total");
+            return this->log.write(Event::UsageReported, { { "window", std::to_string(window) }, { "fence", std::to_string(used) } });
+        }
+        this->log.write(Event::UsageNotReported, { { "window", std::to_string(window) }, { "error", error.message() } });
+        if (error == Error::StaleFence && used == this->fence)
+            this->leadership.superseded();
+    });
+}
+
+auto DutyController::dumpState() const -> nlohmann::json
+{
+    return { { "stored_windows", this->record.windows.size() }, { "reported_windows", this->reported.size() } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/fleetmessage.cpp
@@ -0,0 +1,78 @@
+#include "fleetmessage.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <sstream>
+
+namespace Primrosefork {
+
+// Found by cereal in the namespace of the types.
+
+template <typename Archive>
+static auto serialize(Archive& archive, WorkspaceReport& value) -> void
+{
+    archive(value.workspace, value.askedPerSecond);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, WindowReport& value) -> void
+{
+    archive(value.window, value.counts);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, ServiceReport& value) -> void
+{
+    archive(value.service, value.readTokensPerSecond, value.requestsPerSecond, value.open, value.waiting);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, NodeReport& value) -> void
+{
+    archive(value.workspaces, value.windows, value.services);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, QuotaShare& value) -> void
+{
+    archive(value.workspace, value.share);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, FleetAnswer& value) -> void
+{
+    archive(value.nodes, value.shares);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, FleetMessage& value) -> void
+{
+    archive(value.sender, value.session, value.sequence, value.report, value.answer);
+}
+
+auto encodeFleetMessage(const FleetMessage& message) -> std::string
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+    return std::move(stream).str();
+}
+
+auto decodeFleetMessage(std::string_view bytes) -> std::optional<FleetMessage>
+{
+    try {
+        std::istringstream stream { std::string(bytes) };
+        cereal::PortableBinaryInputArchive archive(stream);
+        FleetMessage message;
+        archive(message);
+        return message;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/forwardcontroller.cpp
@@ -0,0 +1,304 @@
+#include "forwardcontroller.h"
+
+#include "eventlog.h"
+#include "hash.h"
+#include "metrics.h"
+
+#include <algorithm>
+#include <cctype>
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout = 700ms; ///< A lost packet is sent again within it twice.
+constexpr std::chrono::milliseconds waitPeriod = 20ms; ///< Between two looks at requests that wait for a server.
+constexpr std::chrono::milliseconds movedTime = 1s; ///< For the registry to show who is at the address now.
+constexpr std::chrono::milliseconds freshnessMargin = 150ms; ///< For clocks that run apart and a request that waits to be read.
+constexpr std::chrono::milliseconds notReadyRetry = 500ms; ///< Told to callers while the node has no configuration or server.
+constexpr auto shareTime = 2s; ///< For which the leader's word on a share holds.
+constexpr std::size_t assumedNodes = 16; ///< Before the leader has told how many there are; above today's fleets.
+constexpr double connectionPart = 0.8; ///< Of the connections a server accepts that all nodes together open.
+constexpr std::int64_t leastConnections = 4;
+constexpr double demandSmoothing = 0.25; ///< Weight of the newest report, so that a share follows within a few.
+constexpr std::chrono::milliseconds defaultDeadline = 60s; ///< For requests for which neither caller nor route sets one.
+
+auto pathOf(const std::string& target) -> std::string
+{
+    return target.substr(0, target.find('?'));
+}
+
+/** Returns the host that \a text names, without a port. */
+auto hostOf(std::string text) -> std::string
+{
+    text.erase(std::min(text.find(':'), text.size()));
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    return text;
+}
+
+auto toSeconds(std::chrono::milliseconds duration) -> std::string
+{
+    auto text = std::to_string(std::chrono::duration<double>(duration).count());
+    return text.substr(0, text.find('.') + 3);
+}
+
+} // namespace
+
+ForwardController::ForwardController(EventLoop& loop, const HeaderDialect& dialect, const GatewaySettings& settings, GatewayBoard& board,
+    const WallClock& clock, Metrics& metrics, const EventLog& log)
+    : loop(loop)
+    , dialect(dialect)
+    , settings(settings)
+    , board(board)
+    , clock(clock)
+    , metrics(metrics)
+    , log(log)
+    , pool(loop, dialect, connectTimeout)
+    , policy(hash64(settings.id))
+    , usage(settings.bounds.usageWindow)
+    , context { loop, this->pool, dialect, *this, this->policy, metrics, log,
+        [this](const std::string& workspace, std::chrono::milliseconds ago) {
+            this->usage.requestBegan(workspace, this->clock.at(EventLoop::now()) - ago);
+        } }
+    , waitTimer(loop, [this] { this->advanceWaiting(); })
+    , random(static_cast<std::minstd_rand::result_type>(hash64(settings.id + "/split")))
+    , nodeCount(assumedNodes)
+    , lastReport(EventLoop::now())
+{
+    this->quotas.setNodeCount(assumedNodes);
+    board.backendServers.changed.connect([this](const BackendServers& servers) { this->serversChanged(servers); });
+    board.fleetShare.changed.connect([this](const FleetShare& share) { this->shareChanged(share); });
+}
+
+ForwardController::~ForwardController() = default;
+
+auto ForwardController::isKnowledgeFresh() const -> bool
+{
+    const auto& traffic = this->board.traffic.value();
+    return traffic.table && BootClock::now() - traffic.confirmed < this->settings.bounds.revocation - freshnessMargin;
+}
+
+auto ForwardController::handle(const std::shared_ptr<CallerExchange>& exchange) -> void
+{
+    const auto& message = exchange->request();
+    ForwardRequest request;
+    request.id = this->nextId++;
+    request.received = message.received;
+    request.fields = this->dialect.readCaller(message.head.headers);
+    request.table = this->board.traffic.value().table;
+    if (const auto refusal = this->admit(request, message.head)) {
+        const auto headers = this->refuse(*exchange, request, *refusal);
+        return exchange->respond(refusal->status, headers, "");
+    }
+    this->start(std::move(request), exchange);
+}
+
+auto ForwardController::admit(ForwardRequest& request, const MessageHead& head) -> std::optional<Refusal>
+{
+    if (!request.table)
+        return Refusal { HttpStatus::unavailable, "no_configuration", notReadyRetry };
+    const auto host = head.headers.get("Host");
+    if (!host || head.headers.count("Host") != 1 || !head.target.starts_with('/'))
+        return Refusal { HttpStatus::badRequest, "bad_target", {} };
+    request.route = request.table->route(hostOf(*host), pathOf(head.target));
+    // What is refused for good must be refused by the newest configuration.
+    const auto isFresh = this->isKnowledgeFresh();
+    if (!request.route)
+        return isFresh ? Refusal { HttpStatus::notFound, "no_route", {} } : Refusal { HttpStatus::unavailable, "stale_configuration", notReadyRetry };
+    if (!request.route->isPublic && request.table->hasWorkspaces()) {
+        if (!isFresh)
+            return Refusal { HttpStatus::unavailable, "stale_configuration", notReadyRetry };
+        if (const auto refusal = this->admitWorkspace(request))
+            return refusal;
+    }
+    request.service = request.table->service(
+        serviceFor(*request.route, static_cast<double>(this->random() - std::minstd_rand::min()) / static_cast<double>(std::minstd_rand::max())));
+    if (!request.service)
+        return Refusal { HttpStatus::unavailable, "no_service", notReadyRetry };
+    auto left = request.fields.deadline.value_or(defaultDeadline);
+    if (request.route->timeout > 0ms)
+        left = std::min(left, request.route->timeout);
+    request.deadline = request.received + left;
+    return std::nullopt;
+}
+
+auto ForwardController::admitWorkspace(ForwardRequest& request) -> std::optional<Refusal>
+{
+    request.workspace = request.fields.credential ? request.table->workspaceOf(*request.fields.credential) : nullptr;
+    if (!request.workspace)
+        return Refusal { HttpStatus::unauthorized, "unknown_credential", {} };
+    const auto& quota = request.workspace->quota;
+    request.quotaUnits = 1;
+    if (quota.countsTokens) {
+        const auto tokens = request.fields.hasTokenCounts ? request.fields.promptTokens + request.fields.outputTokens : quota.plainTokens;
+        request.quotaUnits = static_cast<double>(tokens);
+    }
+    if (const auto wait = this->quotas.request(*request.workspace, request.quotaUnits, EventLoop::now()))
+        return Refusal { HttpStatus::tooManyRequests, "over_quota", *wait };
+    return std::nullopt;
+}
+
+auto ForwardController::refuse(const CallerExchange& exchange, const ForwardRequest& request, const Refusal& refusal) -> HttpHeaders
+{
+    HttpHeaders headers;
+    if (refusal.retryAfter)
+        headers.add("Retry-After", toSeconds(*refusal.retryAfter));
+    this->metrics.count(std::string("refusals_total{reason=\"") + refusal.reason + "\"}");
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - this->board.traffic.value().confirmed);
+    this->log.write(Event::RequestRefused,
+        { { "request", request.fields.requestId }, { "status", std::to_string(refusal.status) }, { "reason", refusal.reason },
+            { "target", exchange.request().head.target }, { "workspace", request.workspace ? request.workspace->name : "" },
+            { "configuration", request.table ? std::to_string(request.table->configuration().version) : "" }, { "confirmed_ms_ago", std::to_string(age.count()) } });
+    return headers;
+}
+
+auto ForwardController::start(ForwardRequest request, const std::shared_ptr<CallerExchange>& exchange) -> void
+{
+    const auto id = request.id;
+    this->budgetOf(request.service->name).requestReceived(request.received);
+    auto& load = this->loads[request.service->name];
+    ++load.requests;
+    load.tokens += request.fields.promptTokens;
+    auto run = std::make_unique<ForwardRun>(this->context, std::move(request), exchange, [this, id] {
+        // The run is still on the call stack.
+        this->loop.post([this, id] {
+            this->runs.erase(id);
+            this->advanceWaiting();
+        });
+    });
+    auto& started = *run;
+    this->runs.emplace(id, std::move(run));
+    started.begin();
+    if (started.isWaiting() && !this->waitTimer.isRunning())
+        this->waitTimer.start(waitPeriod);
+}
+
+auto ForwardController::advanceWaiting() -> void
+{
+    std::vector<ForwardRun*> waiting;
+    for (const auto& [id, run] : this->runs) {
+        if (run->isWaiting())
+            waiting.push_back(run.get());
+    }
+    if (waiting.empty())
+        return;
+    for (auto* run : waiting)
+        run->advance();
+    if (!this->waitTimer.isRunning())
+        this->waitTimer.start(waitPeriod);
+}
+
+auto ForwardController::serversChanged(const BackendServers& servers) -> void
+{
+    this->serversByService.clear();
+    for (const auto& [id, server] : servers) {
+        auto& started = this->startedAt[id];
+        if (started != server.startedAt)
+            this->policy.forget(id);
+        started = server.startedAt;
+        if (server.state == InstanceState::Live)
+            this->serversByService[server.pool].push_back(&server);
+    }
+    std::erase_if(this->startedAt, [this, &servers](const auto& entry) {
+        if (servers.contains(entry.first))
+            return false;
+        this->pool.dropIdle(entry.first);
+        this->policy.forget(entry.first);
+        return true;
+    });
+    this->advanceWaiting();
+}
+
+auto ForwardController::shareChanged(const FleetShare& share) -> void
+{
+    this->nodeCount = share.nodes;
+    this->quotas.setNodeCount(share.nodes);
+    const auto until = EventLoop::now() + shareTime;
+    for (const auto& [workspace, part] : share.quotaShares)
+        this->quotas.setShare(workspace, part, until);
+    for (auto& [service, budget] : this->budgets)
+        budget.setNodeCount(share.nodes);
+}
+
+auto ForwardController::budgetOf(const std::string& service) -> AttemptBudget&
+{
+    const auto found = this->budgets.find(service);
+    if (found != this->budgets.end())
+        return found->second;
+    const auto& bounds = this->settings.bounds;
+    auto& budget = this->budgets.emplace(service, AttemptBudget({ bounds.attemptRatio, bounds.attemptSlack, bounds.attemptWindow })).first->second;
+    budget.setNodeCount(this->nodeCount);
+    return budget;
+}
+
+auto ForwardController::hasPlace(const BackendServer& server, const TrafficService& service) const -> bool
+{
+    if (service.maxConnections <= 0)
+        return true;
+    const auto own = static_cast<std::int64_t>(connectionPart * static_cast<double>(service.maxConnections) / static_cast<double>(this->nodeCount));
+    return static_cast<std::int64_t>(this->pool.connectionCount(server.id)) < std::max(leastConnections, own);
+}
+
+auto ForwardController::chooseServer(const ForwardRequest& request, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> const BackendServer*
+{
+    const auto found = this->serversByService.find(request.service->name);
+    if (found == this->serversByService.end())
+        return nullptr;
+    std::erase_if(this->moved, [now](const auto& entry) { return entry.second <= now; });
+    std::vector<const BackendServer*> candidates;
+    for (const auto* server : found->second) {
+        if (!excluded.contains(server->id) && !this->moved.contains(server->id) && this->hasPlace(*server, *request.service))
+            candidates.push_back(server);
+    }
+    RoutingRequest routing;
+    routing.id = request.id;
+    routing.promptTokens = request.fields.promptTokens;
+    routing.expectedTokens = request.fields.outputTokens;
+    routing.promptParts = request.fields.promptParts;
+    routing.zone = this->settings.zone;
+    return this->policy.choose(routing, candidates, now);
+}
+
+auto ForwardController::takeAttempt(const std::string& service, EventLoop::TimePoint now) -> bool
+{
+    return this->budgetOf(service).takeAttempt(now);
+}
+
+auto ForwardController::serverMoved(const std::string& id) -> void
+{
+    this->moved[id] = EventLoop::now() + movedTime;
+}
+
+auto ForwardController::takeReport() -> NodeReport
+{
+    const auto now = EventLoop::now();
+    const auto seconds = std::max(0.001, std::chrono::duration<double>(now - this->lastReport).count());
+    this->lastReport = now;
+    NodeReport report;
+    for (auto& [workspace, rate] : this->askedPerSecond)
+        rate *= 1 - demandSmoothing;
+    for (const auto& [workspace, demand] : this->quotas.takeDemand())
+        this->askedPerSecond[workspace] += demandSmoothing * demand.asked / seconds;
+    for (const auto& [workspace, rate] : this->askedPerSecond)
+        report.workspaces.push_back({ workspace, rate });
+    for (const auto& [window, counts] : this->usage.windows())
+        report.windows.push_back({ window, counts });
+    for (auto& [service, load] : this->loads) {
+        report.services.push_back({ service, static_cast<double>(load.tokens) / seconds, static_cast<double>(load.requests) / seconds, 0, 0 });
+        load = {};
+    }
+    return report;
+}
+
+auto ForwardController::dumpState() const -> nlohmann::json
+{
+    auto running = nlohmann::json::array();
+    for (const auto& [id, run] : this->runs)
+        running.push_back(run->dumpState());
+    return { { "running", std::move(running) }, { "connections_opened", this->pool.openedCount() } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/gatewaynode.cpp
@@ -0,0 +1,122 @@
+#include "gatewaynode.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr auto clockPeriod = 1s;
+
+auto listenOn(HttpServer& server, const Address& address, const EventLog& log) -> std::error_code
+{
+    const auto error = server.listen(address);
+    if (error)
+        log.write(Event::ListenFailed, { { "address", address.toString() }, { "error", error.message() } });
+    return error;
+}
+
+} // namespace
+
+GatewayNode::GatewayNode(EventLoop& loop, const GatewaySettings& nodeSettings, GatewaySystems nodeSystems)
+    : loop(loop)
+    , settings(nodeSettings)
+    , systems(std::move(nodeSystems))
+    , log(this->settings.logLevel)
+    , clockTimer(loop, [this] { this->sampleClock(); })
+    , forwarding(loop, *this->systems.dialect, this->settings, this->shared, this->clock, this->metrics, this->log)
+    , traffic(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->metrics, this->log)
+    , registry(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->log)
+    , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
+    , coordination(loop, *this->systems.store, this->settings, this->shared, this->metrics, this->log, [this] { return this->forwarding.takeReport(); })
+    , duties(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
+    , callers(loop, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
+    , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isKnowledgeFresh(); })
+    , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->respond({ this->lifecycle.isReady() ? HttpStatus::ok : HttpStatus::unavailable, {}, "" });
+    })
+    , operatorServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) { this->answerOperator(exchange); })
+{
+    this->shared.traffic.changed.connect([this](const TrafficInForce& inForce) {
+        if (inForce.table)
+            this->callers.setLimits(inForce.table->configuration().limits);
+    });
+    this->lifecycle.stopBegan.connect([this] { this->leadership.leave(); });
+    this->lifecycle.stopped.connect([this] {
+        this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
+        this->loop.post([this] { this->loop.stop(); });
+    });
+}
+
+auto GatewayNode::begin() -> std::error_code
+{
+    if (const auto error = this->beginListening())
+        return error;
+    this->log.write(Event::NodeStarted, { { "node", this->settings.id }, { "zone", this->settings.zone }, { "callers", this->settings.callers.toString() } });
+    this->sampleClock();
+    this->clockTimer.startRepeating(clockPeriod);
+    this->traffic.begin();
+    this->registry.begin();
+    this->leadership.begin();
+    if (this->settings.fleetApi.port != 0)
+        this->duties.begin();
+    return this->coordination.begin();
+}
+
+auto GatewayNode::beginListening() -> std::error_code
+{
+    if (const auto error = this->callers.listen(this->settings.callers)) {
+        this->log.write(Event::ListenFailed, { { "address", this->settings.callers.toString() }, { "error", error.message() } });
+        return error;
+    }
+    if (const auto error = listenOn(this->readinessServer, this->settings.readiness, this->log))
+        return error;
+    return listenOn(this->operatorServer, this->settings.operators, this->log);
+}
+
+auto GatewayNode::sampleClock() -> void
+{
+    this->clock.sample(EventLoop::now(), WallClock::machineTime());
+}
+
+auto GatewayNode::answerOperator(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto& path = exchange->request().path;
+    if (path == "/metrics")
+        return exchange->respond({ HttpStatus::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.toText() });
+    if (path == "/state")
+        return exchange->respond({ HttpStatus::ok, { { "Content-Type", "application/json" } }, this->dumpState().dump(2) });
+    exchange->respond({ HttpStatus::notFound, {}, "" });
+}
+
+auto GatewayNode::settingsReloaded(const GatewaySettings& next) -> void
+{
+    // Addresses and identity hold for the life of the process; the bounds are read by each decision.
+    this->settings.bounds = next.bounds;
+    this->log.write(Event::SettingsReloaded, { { "node", this->settings.id } });
+}
+
+auto GatewayNode::settingsRejected(const Findings& findings) -> void
+{
+    this->log.write(Event::SettingsRejected, { { "findings", formatFindings(findings) } });
+}
+
+auto GatewayNode::dumpState() const -> nlohmann::json
+{
+    nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
+    for (const StateSource* source : std::initializer_list<const StateSource*> {
+             &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->coordination, &this->duties, &this->forwarding })
+        state[source->stateName()] = source->dumpState();
+    return state;
+}
+
+auto GatewayNode::writeStateDump() const -> void
+{
+    this->log.write(Event::StateDumped, { { "node", this->settings.id } });
+    std::cerr << this->dumpState().dump(2) << std::endl;
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/gatewaynode.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "callerlistener.h"
+#include "coordinationcontroller.h"
+#include "dutycontroller.h"
+#include "eventlog.h"
+#include "eventloop.h"
+#include "fleetapi.h"
+#include "forwardcontroller.h"
+#include "gatewayboard.h"
+#include "gatewaysettings.h"
+#include "headerdialect.h"
+#include "httpserver.h"
+#include "keyvaluestore.h"
+#include "leadershipcontroller.h"
+#include "metrics.h"
+#include "registrycontroller.h"
+#include "stopcontroller.h"
+#include "trafficcontroller.h"
+#include "trafficdocuments.h"
+#include "wallclock.h"
+
+#include <memory>
+#include <system_error>
+
+namespace Primrosefork {
+
+/** The outside systems of a gateway node, by the clients of one platform. */
+struct GatewaySystems {
+    std::unique_ptr<KeyValueStore> store;
+    std::unique_ptr<FleetApi> fleet;
+    std::unique_ptr<TrafficDocuments> documents;
+    std::unique_ptr<HeaderDialect> dialect;
+};
+
+/**
+ * One gateway node: its board, its controllers and its ports.
+ */
+class GatewayNode {
+public:
+    GatewayNode(EventLoop&, const GatewaySettings&, GatewaySystems);
+
+    /** Opens the ports and starts the controllers. */
+    auto begin() -> std::error_code;
+
+    /** Begins the planned stop; the loop ends when it is done. */
+    auto requestStop(const char* reason) -> void { this->lifecycle.requestStop(reason); }
+
+    /** Takes over what may change while the node runs, after the settings file was read again. */
+    auto settingsReloaded(const GatewaySettings&) -> void;
+
+    /** The settings file was read again and is not valid; the settings before stay. */
+    auto settingsRejected(const Findings&) -> void;
+
+    /** Writes the state dump to standard error. */
+    auto writeStateDump() const -> void;
+
+    [[nodiscard]] auto board() const -> const GatewayBoard& { return this->shared; }
+
+private:
+    auto beginListening() -> std::error_code;
+    auto answerOperator(const std::shared_ptr<HttpExchange>&) -> void;
+    auto sampleClock() -> void;
+    [[nodiscard]] auto dumpState() const -> nlohmann::json;
+
+    EventLoop& loop;
+    GatewaySettings settings;
+    GatewaySystems systems;
+    EventLog log;
+    Metrics metrics;
+    GatewayBoard shared;
+    WallClock clock;
+    Timer clockTimer;
+    ForwardController forwarding;
+    TrafficController traffic;
+    RegistryController registry;
+    LeadershipController leadership;
+    CoordinationController coordination;
+    DutyController duties;
+    CallerListener callers;
+    StopController lifecycle;
+    HttpServer readinessServer;
+    HttpServer operatorServer;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/stopcontroller.cpp
@@ -0,0 +1,83 @@
+#include "stopcontroller.h"
+
+#include "eventlog.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::chrono::milliseconds noticeTime = 2'500ms; ///< For the balancer to ask twice, once a second, and to send no more.
+constexpr std::chrono::milliseconds lookPeriod = 50ms;
+constexpr double stopPart = 0.95; ///< Of the grace in which the node ends by itself.
+
+} // namespace
+
+StopController::StopController(
+    EventLoop& loop, const GatewaySettings& settings, GatewayBoard& board, CallerListener& listener, const EventLog& log, std::function<bool()> canServe)
+    : settings(settings)
+    , board(board)
+    , listener(listener)
+    , log(log)
+    , lifecycle(board.lifecycle.acquireWriter("StopController"))
+    , canServe(std::move(canServe))
+    , timer(loop, [this] { this->look(); })
+{
+    board.traffic.changed.connect([this](const TrafficInForce&) { this->knowledgeChanged(); });
+    board.backendServers.changed.connect([this](const BackendServers&) { this->knowledgeChanged(); });
+}
+
+auto StopController::knowledgeChanged() -> void
+{
+    if (this->lifecycle.value() == Lifecycle::Starting && this->board.traffic.value().table && !this->board.backendServers.value().empty())
+        this->lifecycle.write(Lifecycle::Serving);
+}
+
+auto StopController::isReady() const -> bool
+{
+    return this->lifecycle.value() == Lifecycle::Serving && this->canServe();
+}
+
+auto StopController::requestStop(const char* reason) -> void
+{
+    if (this->lifecycle.value() == Lifecycle::Draining || this->lifecycle.value() == Lifecycle::Stopped)
+        return this->log.write(Event::StopRepeated, { { "reason", reason } });
+    this->stopBegin = EventLoop::now();
+    this->log.write(Event::NodeDraining, { { "reason", reason }, { "busy", std::to_string(this->listener.busyCount()) } });
+    this->lifecycle.write(Lifecycle::Draining);
+    this->listener.beginDrain();
+    this->stopBegan.emit();
+    this->timer.startRepeating(lookPeriod);
+}
+
+auto StopController::look() -> void
+{
+    const auto time = EventLoop::now() - this->stopBegin;
+    if (time >= stopPart * this->settings.bounds.stopGrace) {
+        if (this->listener.busyCount() > 0)
+            this->log.write(Event::DrainTimedOut, { { "open", std::to_string(this->listener.busyCount()) } });
+        return this->finish();
+    }
+    if (time < noticeTime)
+        return;
+    this->listener.closeIdle();
+    if (this->listener.busyCount() == 0)
+        this->finish();
+}
+
+auto StopController::finish() -> void
+{
+    this->timer.stop();
+    this->lifecycle.write(Lifecycle::Stopped);
+    this->stopped.emit();
+}
+
+auto StopController::dumpState() const -> nlohmann::json
+{
+    return { { "state", nameOf(this->lifecycle.value()) }, { "is_ready", this->isReady() }, { "connections", this->listener.connectionCount() } };
+}
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/gateway/trafficcontroller.cpp
@@ -0,0 +1,120 @@
+#include "trafficcontroller.h"
+
+#include "eventlog.h"
+#include "metrics.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr double confirmPart = 0.6; ///< Of the time in which a change is to be in force; leaves room for one failed read.
+constexpr std::chrono::milliseconds retryPeriod = 200ms; ///< After a read that failed.
+
+} // namespace
+
+TrafficController::TrafficController(EventLoop& loop, KeyValueStore& store, const TrafficDocuments& documents, const GatewayBounds& bounds,
+    GatewayBoard& board, Metrics& metrics, const EventLog& log)
+    : store(store)
+    , documents(documents)
+    , metrics(metrics)
+    , log(log)
+    , traffic(board.traffic.acquireWriter("TrafficController"))
+    , confirmPeriod(std::chrono::duration_cast<std::chrono::milliseconds>(confirmPart * std::min(bounds.configuration, bounds.revocation)))
+    , watcher(loop, store, log, documents.configurationKey(),
+          { [this](const StoreListing& listing) {
+               for (const auto& entry : listing.entries)
+                   this->apply(entry, BootClock::time_point {});
+           },
+              [this](const StoreListing& listing) {
+                  for (const auto& entry : listing.entries)
+                      this->apply(entry, BootClock::time_point {});
+              } })
+    , confirmTimer(loop, [this] { this->confirm(); })
+    , isAlive(std::make_shared<bool>(true))
+{
+}
+
+TrafficController::~TrafficController()
+{
+    *this->isAlive = false;
+}
+
+auto TrafficController::begin() -> void
+{
+    this->confirm();
+    this->watcher.begin();
+}
+
+auto TrafficController::confirm() -> void
+{
+    const auto asked = BootClock::now();
+    this->store.get(this->documents.configurationKey(), [this, asked, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
+        if (!*alive)
+            return;
+        if (error || !entry) {
+            if (this->failedReads++ == 0)
+                this->log.write(Event::ConfigurationUnconfirmed, { { "error", error ? error.message() : "no configuration" } });
+            return this->confirmTimer.start(retryPeriod);
+        }
+        this->failedReads = 0;
+        this->apply(*entry, asked);
+        this->confirmTimer.start(this->confirmPeriod);
+    });
+}
+
+auto TrafficController::apply(const StoreEntry& entry, BootClock::time_point asked) -> void
+{
+    if (entry.isDeleted || entry.key != this->documents.configurationKey())
+        return;
+    if (entry.revision > this->revision)
+        return this->putInForce(entry, asked);
+    if (entry.revision == this->revision)
+        this->confirmed(asked);
+}
+
+auto TrafficController::putInForce(const StoreEntry& entry, BootClock::time_point asked) -> void
+{
+    Findings findings;
+    auto configuration = this->documents.decodeConfiguration(entry.value, findings);
+    if (!configuration) {
+        if (std::exchange(this->rejectedRevision, entry.revision) != entry.revision)
+            this->log.write(Event::ConfigurationRecordRejected,
+                { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "findings", formatFindings(findings) } });
+        return;
+    }
+    const auto& before = this->traffic.value();
+    if (before.table && configuration->version < before.table->configuration().version) {
+        this->log.write(Event::ConfigurationOlderIgnored, { { "key", entry.key }, { "version", std::to_string(configuration->version) } });
+        return;
+    }
+    this->revision = entry.revision;
+    this->log.write(Event::ConfigurationApplied,
+        { { "version", std::to_string(configuration->version) }, { "revision", std::to_string(entry.revision) },
+            { "routes", std::to_string(configuration->routes.size()) }, { "workspaces", std::to_string(configuration->workspaces.size()) } });
+    this->metrics.setGauge("configuration_version", static_cast<double>(configuration->version));
+    this->traffic.write({ std::make_shared<const RouteTable>(std::move(*configuration)), std::max(asked, before.confirmed) });
+}
+
+auto TrafficController::confirmed(BootClock::time_point asked) -> void
+{
+    auto current = this->traffic.value();
+    if (asked <= current.confirmed)
+        return;
+    current.confirmed = asked;
+    this->traffic.write(std::move(current));
+}
+
+auto TrafficController::dumpState() const -> nlohmann::json
+{
+    const auto& current = this->traffic.value();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - current.confirmed);
+    return { { "version", current.table ? current.table->configuration().version : 0 }, { "revision", this->revision }, { "confirmed_ms_ago", age.count() } };
+}
+
+} // namespace Primrosefork
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "errors.h"
 #include "eventloop.h"
+#include "socketoptions.h"
 
 #include <algorithm>
 #include <event2/buffer.h>
@@ -63,6 +64,7 @@
 private:
     [[nodiscard]] auto isTooLarge() const -> bool { return this->options.answerBytes > 0 && this->receivedBytes > this->options.answerBytes; }
     auto watchOutput() -> void;
+    auto connected() -> void;
     auto headersReceived(evhttp_request*) -> void;
     auto piecesReceived(evhttp_request*) -> void;
     auto completed(evhttp_request*) -> void;
@@ -129,12 +131,19 @@
             if (call->isFailing || info->n_deleted == 0)
                 return;
             if (call->sentBytes == 0)
-                call->timer.start(call->options.firstByteTimeout);
+                call->connected();
             call->sentBytes += info->n_deleted;
         },
         this);
 }
 
+auto HttpClientCall::connected() -> void
+{
+    this->timer.start(this->options.firstByteTimeout);
+    if (this->options.detectsSilence)
+        detectSilence(bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection)));
+}
+
 auto HttpClientCall::headersReceived(evhttp_request* request) -> void
 {
     if (this->isDone)
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds firstByteTimeout { 30'000 }; ///< From the call to the headers of its answer.
     std::chrono::milliseconds idleTimeout { 30'000 }; ///< Between two pieces of the answer.
     std::size_t answerBytes = 4 * mebibyte; ///< A longer answer ends the call with Error::TooLarge; 0 is no limit.
+    bool detectsSilence = false; ///< Ends the call when the connection goes silent, though the answer may wait.
     bool usesFreshConnection = false; ///< For calls that must not meet a connection the server is closing.
 };
 
--- a/src/libprimrosefork/backendserver.h
+++ b/src/libprimrosefork/backendserver.h
@@ -40,6 +40,7 @@
     std::int64_t slots = 8; ///< Requests that the engine batches at once.
     bool isReclaimable = true;
     bool checksFencing = false; ///< Whether it refuses orders with an older fencing number.
+    std::int64_t startedAt = 0; ///< Milliseconds since 1970; another start under the same id has another one. 0 is not told.
 
     auto operator==(const BackendServer&) const -> bool = default;
 };
@@ -60,6 +61,14 @@
 /** Load reports by the id of the backend server. */
 using LoadReports = std::map<std::string, LoadReport>;
 
+/** How busy a backend server said it was when it answered. */
+struct ObservedLoad {
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    std::int64_t slots = 0;
+    std::int64_t slownessPercent = 100; ///< Of its machine at that moment; 100 is as usual.
+};
+
 /**
  * An announced reclaim of an instance.
  */
--- a/src/libprimrosefork/errors.cpp
+++ b/src/libprimrosefork/errors.cpp
@@ -35,6 +35,8 @@
             return "unavailable";
         case Error::StaleFence:
             return "stale fencing number";
+        case Error::HistoryLost:
+            return "history lost";
         }
         return "unknown error";
     }
--- a/src/libprimrosefork/errors.h
+++ b/src/libprimrosefork/errors.h
@@ -19,6 +19,7 @@
     Conflict, ///< A compare-and-swap found another revision than expected.
     Unavailable, ///< The service cannot be reached or is down.
     StaleFence, ///< An order carried an older fencing number than one seen before.
+    HistoryLost, ///< The store no longer has the changes after the revision asked for.
 };
 
 [[nodiscard]] auto errorCategory() -> const std::error_category&;
--- a/src/libprimrosefork/jsonreader.cpp
+++ b/src/libprimrosefork/jsonreader.cpp
@@ -41,10 +41,11 @@
 
 } // namespace
 
-JsonReader::JsonReader(const nlohmann::json& object, std::string place, Findings& findings)
+JsonReader::JsonReader(const nlohmann::json& object, std::string place, Findings& findings, UnknownFields unknownFields)
     : json(object)
     , place(std::move(place))
     , findings(findings)
+    , unknownFields(unknownFields)
 {
 }
 
@@ -53,6 +54,16 @@
     return this->json.contains(key);
 }
 
+auto JsonReader::keys() const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    if (!this->json.is_object())
+        return names;
+    for (const auto& [name, value] : this->json.items())
+        names.push_back(name);
+    return names;
+}
+
 auto JsonReader::string(const std::string& key, std::string& value) -> void
 {
     if (const auto* field = this->require(key)) {
@@ -215,7 +226,7 @@
 
 auto JsonReader::finish() -> void
 {
-    if (!this->json.is_object())
+    if (!this->json.is_object() || this->unknownFields == UnknownFields::Ignore)
         return;
     for (const auto& [key, value] : this->json.items()) {
         if (!this->known.contains(key))
@@ -247,7 +258,7 @@
         this->findings.push_back({ place, "expected an object" });
         return;
     }
-    JsonReader reader(value, place, this->findings);
+    JsonReader reader(value, place, this->findings, this->unknownFields);
     read(reader);
     reader.finish();
 }
--- a/src/libprimrosefork/jsonreader.h
+++ b/src/libprimrosefork/jsonreader.h
@@ -17,14 +17,24 @@
  * that is missing, unknown, of the wrong type or out of range.
  *
  * Reading goes on after a finding, so that one run reports all of them.
- * finish() reports the fields that nobody asked for.
+ * finish() reports the fields that nobody asked for, unless the document is
+ * another system's, which may have more than is read.
  */
 class JsonReader {
 public:
-    JsonReader(const nlohmann::json& object, std::string place, Findings&);
+    /** Whether fields that nobody asks for are findings. */
+    enum class UnknownFields {
+        Report,
+        Ignore,
+    };
+
+    JsonReader(const nlohmann::json& object, std::string place, Findings&, UnknownFields = UnknownFields::Report);
 
     [[nodiscard]] auto has(const std::string& key) const -> bool;
 
+    /** Returns the names of all fields of the object. */
+    [[nodiscard]] auto keys() const -> std::vector<std::string>;
+
     auto string(const std::string& key, std::string& value) -> void;
     auto optionalString(const std::string& key, std::string& value) -> void;
     auto boolean(const std::string& key, bool& value) -> void;
@@ -73,6 +83,7 @@
     const nlohmann::json& json;
     std::string place;
     Findings& findings;
+    UnknownFields unknownFields;
     std::set<std::string> known;
 };
 
--- a/src/libprimrosefork/routingpolicy.h
+++ b/src/libprimrosefork/routingpolicy.h
@@ -2,6 +2,7 @@
 
 #include "backendserver.h"
 #include "candidatelist.h"
+#include "promptpart.h"
 #include "servicetemplate.h"
 
 #include <chrono>
@@ -25,6 +26,7 @@
     std::int64_t expectedTokens = 0; ///< Of the answer.
     std::uint64_t prefixHash = 0; ///< Of the start of the prompt; 0 when nothing can be shared.
     std::span<const std::uint64_t> prefixBlocks; ///< Of the prompt up to the end of each block, see prefixBlocks().
+    std::span<const PromptPart> promptParts; ///< Of the prompt in order, when the caller tells them.
     std::chrono::milliseconds waited { 0 }; ///< Since the request came.
     bool isResumed = false; ///< The caller has a part of the answer and waits for the rest.
     const std::set<std::string>* excluded = nullptr; ///< Ids of servers that are not to be chosen; null is none.
@@ -72,6 +74,9 @@
     /** The load reports were replaced. */
     virtual auto loadReported(const LoadReports&, TimePoint) -> void { }
 
+    /** \a server told its \a load with an answer. */
+    virtual auto loadObserved(const BackendServer& /*server*/, const ObservedLoad& /*load*/, TimePoint) -> void { }
+
     /** \a request was sent to \a server. */
     virtual auto requestSent(const RoutingRequest&, const BackendServer&, TimePoint) -> void { }
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,4 +1,6 @@
+#include "adapter.h"
 #include "eventloop.h"
+#include "gatewaysettings.h"
 #include "node.h"
 #include "nodesettings.h"
 
@@ -56,6 +58,47 @@
     return EXIT_SUCCESS;
 }
 
+/** Reads the gateway's settings at \a path, prints what is wrong and returns whether they are valid. */
+auto readGatewaySettings(const std::string& path, GatewaySettings& settings, Findings& findings) -> bool
+{
+    std::string text;
+    if (!readFile(path, text))
+        findings.push_back({ "", "cannot be read" });
+    else
+        settings = parseGatewaySettings(text, findings);
+    return findings.empty();
+}
+
+auto runGateway(const std::string& path, const GatewaySettings& settings) -> int
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    EventLoop loop;
+    HttpClient client(loop);
+    GatewayNode node(loop, settings, makePlatformSystems(client, settings));
+    const SignalWatcher terminate(loop, SIGTERM, [&node] { node.requestStop("SIGTERM"); });
+    const SignalWatcher interrupt(loop, SIGINT, [&node] { node.requestStop("SIGINT"); });
+    const SignalWatcher dump(loop, SIGUSR1, [&node] { node.writeStateDump(); });
+    const SignalWatcher reload(loop, SIGHUP, [&node, &path] {
+        GatewaySettings next;
+        Findings findings;
+        if (readGatewaySettings(path, next, findings))
+            node.settingsReloaded(next);
+        else
+            node.settingsRejected(findings);
+    });
+    if (node.begin())
+        return EXIT_FAILURE;
+    loop.run();
+    return EXIT_SUCCESS;
+}
+
+auto reportFindings(const std::string& path, const Findings& findings) -> int
+{
+    std::cerr << path << ": " << findings.size() << " findings\n"
+              << formatFindings(findings);
+    return exitBadSettings;
+}
+
 auto runProgram(int argc, char** argv) -> int
 {
     gflags::SetUsageMessage(usage);
@@ -70,17 +113,16 @@
         return exitBadSettings;
     }
     Findings findings;
-    const auto settings = parseNodeSettings(text, findings);
-    if (!findings.empty()) {
-        std::cerr << FLAGS_settings << ": " << findings.size() << " findings\n"
-                  << formatFindings(findings);
-        return exitBadSettings;
-    }
+    const auto isGateway = isGatewaySettings(text);
+    const auto gatewaySettings = isGateway ? parseGatewaySettings(text, findings) : GatewaySettings {};
+    const auto settings = isGateway ? NodeSettings {} : parseNodeSettings(text, findings);
+    if (!findings.empty())
+        return reportFindings(FLAGS_settings, findings);
     if (FLAGS_check_settings) {
         std::cout << FLAGS_settings << ": valid\n";
         return EXIT_SUCCESS;
     }
-    return runNode(settings);
+    return isGateway ? runGateway(FLAGS_settings, gatewaySettings) : runNode(settings);
 }
 
 } // namespace
--- a/src/observe/eventlog.h
+++ b/src/observe/eventlog.h
@@ -15,8 +15,8 @@
 };
 
 /**
- * Writes numbered events to standard error through log4cxx, one a line:
- * time, level, number, name and the fields as name="value".
+ * Writes numbered events to standard output through log4cxx, one JSON object a
+ * line: time, level, event number, name and the fields of the event.
  */
 class EventLog {
 public:
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
-DEFINE_string(world, "", "The file that describes the stand-ins (JSON, docs/PLATFORM.md).");
+DEFINE_string(world, "", "The file that describes the stand-ins (JSON, docs/SYSTEMS.md).");
 
 namespace {
 
--- a/src/platform/httpcloudapi.h
+++ b/src/systems/httpcloudapi.h
@@ -7,7 +7,7 @@
 namespace Primrosefork {
 
 /**
- * Speaks to the cloud over HTTP with JSON; docs/PLATFORM.md has the calls.
+ * Speaks to the cloud over HTTP with JSON; docs/SYSTEMS.md has the calls.
  */
 class HttpCloudApi : public CloudApi {
 public:
--- a/src/platform/httpengines.h
+++ b/src/systems/httpengines.h
@@ -7,7 +7,7 @@
 
 /**
  * Speaks to model engines over HTTP; streams come as one JSON object a line.
- * docs/PLATFORM.md has the calls.
+ * docs/SYSTEMS.md has the calls.
  */
 class HttpEngines : public Engines {
 public:
--- a/src/platform/httpinstancelist.h
+++ b/src/systems/httpinstancelist.h
@@ -7,7 +7,7 @@
 namespace Primrosefork {
 
 /**
- * Reads the instance list over HTTP with JSON; docs/PLATFORM.md has the call.
+ * Reads the instance list over HTTP with JSON; docs/SYSTEMS.md has the call.
  */
 class HttpInstanceList : public InstanceList {
 public:
--- a/src/platform/httpkeyvaluestore.h
+++ b/src/systems/httpkeyvaluestore.h
@@ -7,7 +7,7 @@
 namespace Primrosefork {
 
 /**
- * Speaks to the key-value service over HTTP with JSON; docs/PLATFORM.md has the
+ * Speaks to the key-value service over HTTP with JSON; docs/SYSTEMS.md has the
  * calls.
  */
 class HttpKeyValueStore : public KeyValueStore {
--- a/src/platform/keyvaluestore.h
+++ b/src/systems/keyvaluestore.h
@@ -21,6 +21,7 @@
     std::string key;
     std::string value;
     StoreRevision revision = 0; ///< Of the write that set the value; 0 when the key does not exist.
+    bool isDeleted = false; ///< In the answer to a watch: the key was deleted with this revision.
 };
 
 /** Everything below a prefix at one moment. */
@@ -67,7 +68,8 @@
     /**
      * Waits until something below \a prefix has a revision after \a after, and
      * gives the listing; after \a wait without a change it gives an empty one
-     * with the revision of the store.
+     * with the revision of the store. Error::HistoryLost means that changes
+     * after \a after may have been missed and everything is to be listed again.
      */
     virtual auto watch(const std::string& prefix, StoreRevision after, std::chrono::milliseconds wait, ListingHandler) -> void = 0;
 
--- /dev/null
+++ b/src/traffic/cacheawarepolicy.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "routingpolicy.h"
+#include "slowdowndetector.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Primrosefork {
+
+/**
+ * Chooses the server that is expected to begin a request first, counted in
+ * prompt tokens: what it has to read before, what it does not keep of the
+ * prompt, and how much everything that runs there slows it.
+ *
+ * Prompts that share parts go to the same server on every node, since each part
+ * sequence has a home by rendezvous hashing; a home that is busier than it saves
+ * is passed over.
+ */
+class CacheAwarePolicy : public RoutingPolicy {
+public:
+    using RoutingPolicy::choose;
+
+    explicit CacheAwarePolicy(std::uint64_t seed);
+
+    auto choose(const RoutingRequest&, std::span<const BackendServer* const> candidates, TimePoint) -> const BackendServer* override;
+    auto loadObserved(const BackendServer&, const ObservedLoad&, TimePoint) -> void override;
+    auto requestSent(const RoutingRequest&, const BackendServer&, TimePoint) -> void override;
+    auto firstPieceReceived(const RoutingRequest&, const BackendServer&, TimePoint) -> void override;
+    auto pieceReceived(const RoutingRequest&, const BackendServer&, std::int64_t tokens, TimePoint) -> void override;
+    auto requestEnded(const RoutingRequest&, const BackendServer&, AttemptEnd, TimePoint) -> void override;
+
+    /** Forgets what the server \a id kept, after it went or started anew. */
+    auto forget(const std::string& id) -> void;
+
+private:
+    /** A request of this node that is open at a server. */
+    struct OpenRequest {
+        std::string serverId;
+        std::int64_t unreadTokens = 0; ///< Of the prompt, until the first piece.
+        TimePoint sent;
+        TimePoint lastPiece;
+        bool hasPiece = false;
+    };
+
+    struct ServerState {
+        std::int64_t running = 0; ///< Requests of this node.
+        std::int64_t unreadTokens = 0; ///< Of this node's prompts.
+        std::int64_t others = 0; ///< Requests of other nodes, as of the last answer.
+        std::int64_t othersWaiting = 0;
+        double machineSlowness = 1; ///< As of the last answer.
+        TimePoint observed;
+        std::unordered_map<std::uint64_t, TimePoint> keptParts; ///< Part sequences that this node had read there, and when.
+    };
+
+    [[nodiscard]] auto costOf(const RoutingRequest&, const BackendServer&, std::span<const std::uint64_t> sequences, bool isHome, TimePoint) -> double;
+    [[nodiscard]] auto unreadTokens(const RoutingRequest&, const ServerState&, std::span<const std::uint64_t> sequences, bool isHome, TimePoint) const
+        -> std::int64_t;
+    auto keep(ServerState&, std::span<const std::uint64_t> sequences, TimePoint) -> void;
+
+    SlowdownDetector slowdowns;
+    std::unordered_map<std::string, ServerState> servers;
+    std::unordered_map<std::uint64_t, OpenRequest> open;
+    std::minstd_rand random;
+};
+
+} // namespace Primrosefork
--- /dev/null
+++ b/src/traffic/usageledger.cpp
@@ -0,0 +1,33 @@
+#include "usageledger.h"
+
+namespace Primrosefork {
+
+namespace {
+
+constexpr std::size_t keptWindows = 4; ///< A report is due two windows after its own at the latest.
+
+} // namespace
+
+UsageLedger::UsageLedger(std::chrono::milliseconds windowLength)
+    : windowLength(windowLength)
+{
+}
+
+auto UsageLedger::requestBegan(const std::string& workspace, WallTime at) -> void
+{
+    ++this->counts[this->windowAt(at)][workspace];
+    while (this->counts.size() > keptWindows)
+        this->counts.erase(this->counts.begin());
+}
+
+auto UsageLedger::windowAt(WallTime at) const -> UsageWindow
+{
+    return at / this->windowLength;
+}
+
+auto UsageLedger::endOf(UsageWindow window) const -> WallTime
+{
+    return (window + 1) * this->windowLength;
+}
+
+} // namespace Primrosefork
