Gateway: Filled quota buckets by the terms of the window, ordered engines by demand

Change: a bucket holds what the quota's terms allow over a window; the leader orders reclaimable engines by what is read, on-demand ones for what is missing.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds reportPeriod = 500ms; ///< A tenth of an accounting window, and several within a quota's.
 constexpr auto nodeMemory = 3s; ///< Since its last report, after which a node has no share any more.
 constexpr auto countMemory = 30s; ///< Since its last report, while a node's counts may still be due.
-constexpr double evenPart = 0.25; ///< Of each quota that is shared equally, for nodes whose demand is new.
+constexpr double leastSpare = 0.2; ///< Of each quota that is shared equally, for nodes whose demand is new.
 
 auto askedOf(const NodeReport& report, const std::string& workspace) -> double
 {
@@ -174,9 +174,10 @@
             if (now - other.heard < nodeMemory)
                 total += askedOf(other.report, workspace.name);
         }
-        const auto even = 1.0 / static_cast<double>(nodes);
-        const auto part = total > 0 ? askedOf(node->second.report, workspace.name) / total : even;
-        answer.shares.push_back({ workspace.name, evenPart * even + (1 - evenPart) * part });
+        const auto quota = static_cast<double>(std::max<std::int64_t>(1, workspace.quota.perSecond));
+        const auto spare = std::max(leastSpare, 1 - total / quota);
+        const auto part = total > 0 ? askedOf(node->second.report, workspace.name) / total : 0;
+        answer.shares.push_back({ workspace.name, spare / static_cast<double>(nodes) + (1 - spare) * part });
     }
     return answer;
 }
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -27,7 +27,7 @@
 template <typename Archive>
 static auto serialize(Archive& archive, ServiceReport& value) -> void
 {
-    archive(value.service, value.readTokensPerSecond, value.requestsPerSecond, value.open, value.waiting);
+    archive(value.service, value.readTokensPerSecond, value.engineTokensPerSecond, value.open, value.waiting);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -25,7 +25,7 @@
 struct ServiceReport {
     std::string service;
     double readTokensPerSecond = 0; ///< Prompt tokens that engines had to read.
-    double requestsPerSecond = 0;
+    double engineTokensPerSecond = 0; ///< That one engine reads, by this node's measure; 0 is not known.
     std::int64_t open = 0; ///< Requests at servers.
     std::int64_t waiting = 0; ///< For a server.
 };
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t assumedNodes = 16; ///< Before the leader has told how many there are; above today's fleets.
 constexpr double connectionPart = 0.8; ///< Of the connections a server accepts that all nodes together open.
 constexpr std::int64_t leastConnections = 4;
+constexpr double loadSmoothing = 0.12; ///< Weight of the newest report; engines are ordered by the mean of some seconds.
 constexpr double demandSmoothing = 0.25; ///< Weight of the newest report, so that a share follows within a few.
 constexpr std::chrono::milliseconds defaultDeadline = 60s; ///< For requests for which neither caller nor route sets one.
 
@@ -58,6 +59,7 @@
     , log(log)
     , pool(loop, dialect, connectTimeout)
     , policy(hash64(settings.id))
+    , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaExcess, settings.bounds.quotaSlack }, EventLoop::now())
     , usage(settings.bounds.usageWindow)
     , context { loop, this->pool, dialect, *this, this->policy, metrics, log,
         [this](const std::string& workspace, std::chrono::milliseconds ago) {
@@ -159,9 +161,6 @@
 {
     const auto id = request.id;
     this->budgetOf(request.service->name).requestReceived(request.received);
-    auto& load = this->loads[request.service->name];
-    ++load.requests;
-    load.tokens += request.fields.promptTokens;
     auto run = std::make_unique<ForwardRun>(this->context, std::move(request), exchange, [this, id] {
         // The run is still on the call stack.
         this->loop.post([this, id] {
@@ -259,7 +258,10 @@
     routing.expectedTokens = request.fields.outputTokens;
     routing.promptParts = request.fields.promptParts;
     routing.zone = this->settings.zone;
-    return this->policy.choose(routing, candidates, now);
+    const auto* server = this->policy.choose(routing, candidates, now);
+    if (server)
+        this->readTokens[request.service->name] += this->policy.expectedReading(routing, *server, now);
+    return server;
 }
 
 auto ForwardController::takeAttempt(const std::string& service, EventLoop::TimePoint now) -> bool
@@ -286,10 +288,20 @@
         report.workspaces.push_back({ workspace, rate });
     for (const auto& [window, counts] : this->usage.windows())
         report.windows.push_back({ window, counts });
-    for (auto& [service, load] : this->loads) {
-        report.services.push_back({ service, static_cast<double>(load.tokens) / seconds, static_cast<double>(load.requests) / seconds, 0, 0 });
-        load = {};
+    std::map<std::string, ServiceReport> services;
+    for (auto& [service, tokens] : this->readTokens) {
+        auto& rate = this->readPerSecond[service];
+        rate += loadSmoothing * (static_cast<double>(tokens) / seconds - rate);
+        tokens = 0;
+        services[service] = { service, rate, this->policy.readingRate(service), 0, 0 };
     }
+    for (const auto& [id, run] : this->runs) {
+        auto& entry = services[run->request().service->name];
+        entry.service = run->request().service->name;
+        ++(run->isWaiting() ? entry.waiting : entry.open);
+    }
+    for (auto& [service, entry] : services)
+        report.services.push_back(std::move(entry));
     return report;
 }
 
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -64,12 +64,6 @@
     auto serverMoved(const std::string& id) -> void override;
     [[nodiscard]] auto hasPlace(const BackendServer&, const TrafficService&) const -> bool;
 
-    /** What this node brought to a service since the last report. */
-    struct ServiceLoad {
-        std::uint64_t requests = 0;
-        std::int64_t tokens = 0;
-    };
-
     EventLoop& loop;
     const HeaderDialect& dialect;
     const GatewaySettings& settings;
@@ -86,7 +80,8 @@
     std::map<std::string, std::vector<const BackendServer*>> serversByService; ///< Those that may be given work.
     std::map<std::string, std::int64_t> startedAt; ///< Of each server, to notice that one started anew.
     std::map<std::string, EventLoop::TimePoint> moved; ///< Servers whose address another one answered at, and until when they are passed over.
-    std::map<std::string, ServiceLoad> loads;
+    std::map<std::string, std::int64_t> readTokens; ///< That engines had to read since the last report, by service.
+    std::map<std::string, double> readPerSecond; ///< The same by the second, smoothed.
     std::map<std::string, double> askedPerSecond; ///< Units of each workspace's quota, smoothed.
     std::map<std::uint64_t, std::unique_ptr<ForwardRun>> runs;
     Timer waitTimer;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -33,6 +33,7 @@
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
     , coordination(loop, *this->systems.store, this->settings, this->shared, this->metrics, this->log, [this] { return this->forwarding.takeReport(); })
     , duties(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
+    , fleet(loop, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->metrics, this->log)
     , callers(loop, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
     , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isKnowledgeFresh(); })
     , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -61,8 +62,10 @@
     this->traffic.begin();
     this->registry.begin();
     this->leadership.begin();
-    if (this->settings.fleetApi.port != 0)
+    if (this->settings.fleetApi.port != 0) {
         this->duties.begin();
+        this->fleet.begin();
+    }
     return this->coordination.begin();
 }
 
@@ -108,7 +111,7 @@
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->coordination, &this->duties, &this->forwarding })
+             &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->coordination, &this->duties, &this->fleet, &this->forwarding })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -6,6 +6,7 @@
 #include "eventlog.h"
 #include "eventloop.h"
 #include "fleetapi.h"
+#include "fleetcontroller.h"
 #include "forwardcontroller.h"
 #include "gatewayboard.h"
 #include "gatewaysettings.h"
@@ -77,6 +78,7 @@
     LeadershipController leadership;
     CoordinationController coordination;
     DutyController duties;
+    FleetController fleet;
     CallerListener callers;
     StopController lifecycle;
     HttpServer readinessServer;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -46,6 +46,9 @@
     reader.duration("attempt_window", bounds.attemptWindow, 1s, 1h);
     reader.number("attempt_ratio", bounds.attemptRatio, 0, 1);
     reader.number("attempt_slack", bounds.attemptSlack, 0, 1'000'000);
+    reader.duration("quota_window", bounds.quotaWindow, 1s, 1h);
+    reader.number("quota_excess", bounds.quotaExcess, 0, 1);
+    reader.number("quota_slack", bounds.quotaSlack, 0, 1'000'000'000);
 }
 
 auto isKnownLevel(const std::string& level) -> bool
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -24,6 +24,9 @@
     std::chrono::milliseconds attemptWindow { 10'000 };
     double attemptRatio = 0.2; ///< Second attempts for each request, of all nodes.
     double attemptSlack = 50; ///< Second attempts beyond that, of all nodes in one window.
+    std::chrono::milliseconds quotaWindow { 8'000 };
+    double quotaExcess = 0.1; ///< Part of a workspace's quota that may be exceeded in a window.
+    double quotaSlack = 0; ///< Tokens beyond that, of all nodes in one window.
 };
 
 /**
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -51,6 +51,8 @@
     EventDescription { Event::LeaderChanged, Severity::Info, "leaderChanged" },
     EventDescription { Event::UsageReported, Severity::Info, "usageReported" },
     EventDescription { Event::UsageNotReported, Severity::Warning, "usageNotReported" },
+    EventDescription { Event::EnginesOrdered, Severity::Info, "enginesOrdered" },
+    EventDescription { Event::EngineOrderFailed, Severity::Warning, "engineOrderFailed" },
     EventDescription { Event::PeerJoined, Severity::Info, "peerJoined" },
     EventDescription { Event::PeerSuspected, Severity::Info, "peerSuspected" },
     EventDescription { Event::PeerDied, Severity::Warning, "peerDied" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -61,6 +61,8 @@
     LeaderChanged = 6003,
     UsageReported = 6101,
     UsageNotReported = 6102,
+    EnginesOrdered = 6201,
+    EngineOrderFailed = 6202,
     PeerJoined = 7001,
     PeerSuspected = 7002,
     PeerDied = 7003,
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -19,6 +19,10 @@
 constexpr auto keepTime = 20s; ///< After which a part that was not read again is taken for evicted.
 constexpr auto observedTime = 2s; ///< After which an observed load counts for nothing.
 constexpr std::size_t maxKeptParts = 4'096;
+constexpr std::int64_t leastMeasuredTokens = 1'000; ///< Of a prompt, for its reading to outweigh the rest of the time to the first piece.
+constexpr std::size_t measuredPrompts = 64;
+constexpr std::size_t leastMeasuredPrompts = 8;
+constexpr double undisturbedPart = 0.9; ///< Quantile of the rates that is taken for that of an engine with nothing else to do.
 
 /** Returns a hash for each part sequence of the prompt, from its start to the end of the part. */
 auto partSequences(std::span<const PromptPart> parts) -> std::vector<std::uint64_t>
@@ -147,7 +151,8 @@
     auto& state = this->servers[server.id];
     const auto sequences = partSequences(request.promptParts);
     const auto unread = this->unreadTokens(request, state, sequences, false, now);
-    this->open[request.id] = { server.id, unread, now, now };
+    const auto own = request.promptParts.empty() ? request.promptTokens : request.promptParts.back().tokens;
+    this->open[request.id] = { server.id, unread, own, now, now };
     ++state.running;
     state.unreadTokens += unread;
     this->keep(state, sequences, now);
@@ -159,6 +164,12 @@
     if (found == this->open.end())
         return;
     this->servers[server.id].unreadTokens -= found->second.unreadTokens;
+    if (found->second.ownTokens >= leastMeasuredTokens) {
+        auto& rates = this->readingRates[server.pool];
+        rates.push_back(static_cast<double>(found->second.ownTokens) / std::max(0.001, std::chrono::duration<double>(now - found->second.sent).count()));
+        if (rates.size() > measuredPrompts)
+            rates.pop_front();
+    }
     found->second.unreadTokens = 0;
     found->second.hasPiece = true;
     found->second.lastPiece = now;
@@ -191,6 +202,24 @@
     this->open.erase(found);
 }
 
+auto CacheAwarePolicy::readingRate(const std::string& pool) const -> double
+{
+    const auto found = this->readingRates.find(pool);
+    if (found == this->readingRates.end() || found->second.size() < leastMeasuredPrompts)
+        return 0;
+    std::vector<double> sorted(found->second.begin(), found->second.end());
+    const auto place = sorted.begin() + static_cast<std::ptrdiff_t>(undisturbedPart * static_cast<double>(sorted.size() - 1));
+    std::nth_element(sorted.begin(), place, sorted.end());
+    return *place;
+}
+
+auto CacheAwarePolicy::expectedReading(const RoutingRequest& request, const BackendServer& server, TimePoint now) const -> std::int64_t
+{
+    static const ServerState unknown;
+    const auto found = this->servers.find(server.id);
+    return this->unreadTokens(request, found == this->servers.end() ? unknown : found->second, partSequences(request.promptParts), true, now);
+}
+
 auto CacheAwarePolicy::forget(const std::string& id) -> void
 {
     const auto found = this->servers.find(id);
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -4,6 +4,7 @@
 #include "slowdowndetector.h"
 
 #include <cstdint>
+#include <deque>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -33,6 +34,12 @@
     auto pieceReceived(const RoutingRequest&, const BackendServer&, std::int64_t tokens, TimePoint) -> void override;
     auto requestEnded(const RoutingRequest&, const BackendServer&, AttemptEnd, TimePoint) -> void override;
 
+    /** Returns how many prompt tokens an engine of \a pool reads in a second when nothing else holds it up, or 0 while that is not known. */
+    [[nodiscard]] auto readingRate(const std::string& pool) const -> double;
+
+    /** Returns how many prompt tokens the server that choose() named for \a request has to read. */
+    [[nodiscard]] auto expectedReading(const RoutingRequest& request, const BackendServer& server, TimePoint now) const -> std::int64_t;
+
     /** Forgets what the server \a id kept, after it went or started anew. */
     auto forget(const std::string& id) -> void;
 
@@ -41,6 +48,7 @@
     struct OpenRequest {
         std::string serverId;
         std::int64_t unreadTokens = 0; ///< Of the prompt, until the first piece.
+        std::int64_t ownTokens = 0; ///< Of the prompt's last part, which no engine keeps.
         TimePoint sent;
         TimePoint lastPiece;
         bool hasPiece = false;
@@ -64,6 +72,7 @@
     SlowdownDetector slowdowns;
     std::unordered_map<std::string, ServerState> servers;
     std::unordered_map<std::uint64_t, OpenRequest> open;
+    std::unordered_map<std::string, std::deque<double>> readingRates; ///< Tokens a second of the last long prompts, by pool.
     std::minstd_rand random;
 };
 
--- a/src/traffic/quotalimiter.cpp
+++ b/src/traffic/quotalimiter.cpp
@@ -10,9 +10,24 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr std::chrono::milliseconds longestWait { 60'000 }; ///< Told to a caller whose request can never be granted.
+constexpr double safePart = 0.8; ///< Of the burst that the terms allow; the rest covers requests larger than a node's share and shares that move.
 
 } // namespace
 
+QuotaLimiter::QuotaLimiter(const QuotaTerms& terms, TimePoint start)
+    : terms(terms)
+    , start(start)
+{
+}
+
+auto QuotaLimiter::bucketOf(const std::string& workspace) -> Bucket&
+{
+    const auto [entry, isNew] = this->buckets.try_emplace(workspace);
+    if (isNew)
+        entry->second.filled = this->start;
+    return entry->second;
+}
+
 auto QuotaLimiter::setNodeCount(std::size_t nodes) -> void
 {
     this->nodeCount = std::max<std::size_t>(1, nodes);
@@ -20,7 +35,7 @@
 
 auto QuotaLimiter::setShare(const std::string& workspace, double share, TimePoint validUntil) -> void
 {
-    auto& bucket = this->buckets[workspace];
+    auto& bucket = this->bucketOf(workspace);
     bucket.share = std::clamp(share, 0.0, 1.0);
     bucket.shareUntil = validUntil;
 }
@@ -32,13 +47,12 @@
 
 auto QuotaLimiter::refill(Bucket& bucket, const WorkspaceQuota& quota, TimePoint now) -> double
 {
-    const auto rate = this->shareOf(bucket, now) * static_cast<double>(quota.perSecond);
-    bucket.capacity = this->shareOf(bucket, now) * static_cast<double>(std::max(quota.burst, quota.perSecond));
-    if (!bucket.isFilled) {
-        bucket.isFilled = true;
-        bucket.level = bucket.capacity;
-        bucket.filled = now;
-    }
+    const auto perSecond = static_cast<double>(quota.perSecond);
+    const auto rate = this->shareOf(bucket, now) * perSecond;
+    // Over any window no more than the capacity and what flows in meanwhile is granted.
+    const auto excess = this->terms.excess * perSecond * Seconds(this->terms.window).count();
+    const auto burst = static_cast<double>(quota.burst) * (1 + this->terms.excess) + excess + (quota.countsTokens ? this->terms.slack : 0);
+    bucket.capacity = safePart * this->shareOf(bucket, now) * burst;
     bucket.level += rate * Seconds(now - bucket.filled).count();
     bucket.level = std::min(bucket.level, bucket.capacity);
     bucket.filled = now;
@@ -51,18 +65,19 @@
         return std::nullopt;
     auto& asked = this->demand[workspace.name];
     asked.asked += units;
-    auto& bucket = this->buckets[workspace.name];
+    auto& bucket = this->bucketOf(workspace.name);
     const auto rate = this->refill(bucket, workspace.quota, now);
 
-    // A request is let through while the bucket is not in debt, so that one larger than a small share is not refused for ever.
-    if (bucket.level > 0) {
+    // A request that is larger than the bucket passes when that is full, and leaves it in debt.
+    const auto needed = std::min(units, bucket.capacity);
+    if (bucket.level >= needed) {
         bucket.level -= units;
         asked.granted += units;
         return std::nullopt;
     }
     if (rate <= 0)
         return longestWait;
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(Seconds(-bucket.level / rate)) + std::chrono::milliseconds(1);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(Seconds((needed - bucket.level) / rate)) + std::chrono::milliseconds(1);
     return std::min(wait, longestWait);
 }
 
--- a/src/traffic/quotalimiter.h
+++ b/src/traffic/quotalimiter.h
@@ -15,6 +15,13 @@
     double granted = 0; ///< Units that were let through.
 };
 
+/** How strictly a quota is held to over time. */
+struct QuotaTerms {
+    std::chrono::milliseconds window { 8'000 };
+    double excess = 0; ///< Part of the quota that may be exceeded in a window.
+    double slack = 0; ///< Units beyond that, of all nodes in a window.
+};
+
 /**
  * Holds each workspace to this node's share of its quota, with a token bucket.
  *
@@ -26,6 +33,9 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    /** Buckets fill from \a start on, so that a node that starts anew grants nothing twice. */
+    QuotaLimiter(const QuotaTerms&, TimePoint start);
+
     /** Sets what the equal part is counted by. */
     auto setNodeCount(std::size_t nodes) -> void;
 
@@ -53,12 +63,14 @@
         double share = 0;
         TimePoint shareUntil;
         TimePoint filled;
-        bool isFilled = false;
     };
 
     [[nodiscard]] auto shareOf(const Bucket&, TimePoint now) const -> double;
+    auto bucketOf(const std::string& workspace) -> Bucket&;
     auto refill(Bucket&, const WorkspaceQuota&, TimePoint now) -> double;
 
+    QuotaTerms terms;
+    TimePoint start;
     std::size_t nodeCount = 1;
     std::map<std::string, Bucket> buckets;
     std::map<std::string, WorkspaceDemand> demand;
