--- a/src/gateway/fleetcontroller.cpp
+++ b/src/gateway/fleetcontroller.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickPeriod = 500ms;
-constexpr auto gatherTime = 1'500ms; ///< For all nodes to report to a new leader, before it orders by what they say.
+constexpr auto gatherTime = 4s; ///< For nodes to report to a new leader and for servers to register, before it orders by what they say.
 constexpr auto followTime = 5s; ///< Beyond the start of an engine, for the registry to show what was ordered.
 constexpr auto reportMemory = 3s; ///< After which a node's load counts for nothing.
 
@@ -134,16 +134,17 @@
         return;
     auto& last = this->orders[key];
     last.isUnderWay = false;
-    if (!error)
-        return;
     const auto& [service, zone, isReclaimable] = key;
+    const auto planner = this->planners.find(service);
+    if (!error) {
+        if (isReclaimable && planner != this->planners.end())
+            planner->second.reclaimableAccepted(zone, last.count, EventLoop::now());
+        return;
+    }
     this->log.write(Event::EngineOrderFailed, { { "service", service }, { "zone", zone }, { "error", error.message() } });
     last.count = -1;
-    if (error == Error::Refused) {
-        const auto planner = this->planners.find(service);
-        if (planner != this->planners.end())
-            planner->second.reclaimableRefused(zone, EventLoop::now());
-    }
+    if (error == Error::Refused && planner != this->planners.end())
+        planner->second.reclaimableRefused(zone, EventLoop::now());
     if (error == Error::StaleFence)
         this->leadership.superseded();
 }
