Gateway: Kept the number of engines needed in the store

Ruled out: the lease itself, which lapses after 3 s as bounded. Change: the need is written to the store when it changes; a new leader acts on it after two reports of each node.

--- a/src/gateway/fleetcontroller.cpp
+++ b/src/gateway/fleetcontroller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 using namespace std::chrono_literals;
 
@@ -14,15 +15,17 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickPeriod = 500ms;
-constexpr auto gatherTime = 4s; ///< For nodes to report to a new leader and for servers to register, before it orders by what they say.
+constexpr auto neededKey = "primrosefork/fleet";
+constexpr auto firstGatherTime = 4s; ///< For servers to register after the first start of the system.
+constexpr auto gatherTime = 1'200ms; ///< For nodes to report to a new leader, twice.
 constexpr auto followTime = 5s; ///< Beyond the start of an engine, for the registry to show what was ordered.
 constexpr auto reportMemory = 3s; ///< After which a node's load counts for nothing.
 
 } // namespace
 
-FleetController::FleetController(EventLoop& loop, FleetApi& fleet, const GatewaySettings& settings, GatewayBoard& board,
+FleetController::FleetController(EventLoop& loop, KeyValueStore& store, FleetApi& fleet, const GatewaySettings& settings, GatewayBoard& board,
     const CoordinationController& coordination, LeadershipController& leadership, Metrics& metrics, const EventLog& log)
-    : loop(loop)
+    : store(store)
     , fleet(fleet)
     , settings(settings)
     , board(board)
@@ -52,18 +55,77 @@
     if (!current.isOwn || BootClock::now() >= current.validUntil || !table)
         return;
     const auto now = EventLoop::now();
-    if (this->fence != current.fence) {
-        this->fence = current.fence;
-        this->leadingSince = now;
-        this->orders.clear();
-        this->planners.clear();
-    }
-    if (now - this->leadingSince < gatherTime)
+    if (this->fence != current.fence)
+        this->beginLeading(current.fence, now);
+    if (!this->isRecordKnown)
+        this->fetchRecord();
+    // A first leader has nothing to go by until servers have registered; a later one has the record.
+    if (now - this->leadingSince < (this->recorded.empty() ? firstGatherTime : gatherTime))
         return;
     for (const auto& [name, service] : table->configuration().services) {
         if (service.scaling)
             this->planService(service, now);
     }
+    this->writeRecord();
+}
+
+auto FleetController::beginLeading(std::uint64_t newFence, EventLoop::TimePoint now) -> void
+{
+    this->fence = newFence;
+    this->leadingSince = now;
+    this->orders.clear();
+    this->planners.clear();
+    this->recorded.clear();
+    this->recordRevision = 0;
+    this->isRecordKnown = false;
+    this->isCallingStore = false;
+}
+
+auto FleetController::fetchRecord() -> void
+{
+    if (std::exchange(this->isCallingStore, true))
+        return;
+    this->store.get(neededKey, [this, used = this->fence, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
+        if (!*alive || used != this->fence)
+            return;
+        this->isCallingStore = false;
+        if (error)
+            return;
+        this->isRecordKnown = true;
+        if (!entry)
+            return;
+        this->recordRevision = entry->revision;
+        const auto json = nlohmann::json::parse(entry->value, nullptr, false);
+        if (!json.is_object())
+            return;
+        for (const auto& [service, needed] : json.items()) {
+            if (needed.is_number_integer())
+                this->recorded[service] = needed.template get<std::int64_t>();
+        }
+    });
+}
+
+auto FleetController::writeRecord() -> void
+{
+    std::map<std::string, std::int64_t> current;
+    for (const auto& [service, planner] : this->planners)
+        current[service] = planner.neededLast();
+    if (!this->isRecordKnown || current == this->recorded || std::exchange(this->isCallingStore, true))
+        return;
+    const nlohmann::json json(current);
+    this->store.compareAndSwap({ neededKey, this->recordRevision, json.dump(), 0 },
+        [this, current, used = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+            if (!*alive || used != this->fence)
+                return;
+            this->isCallingStore = false;
+            // Another outcome than a clear success: what the store holds is read again.
+            if (error || !result.isSwapped) {
+                this->isRecordKnown = false;
+                return;
+            }
+            this->recorded = current;
+            this->recordRevision = result.current.revision;
+        });
 }
 
 auto FleetController::demandFor(const std::string& service) const -> ServiceDemand
@@ -98,7 +160,11 @@
     // A registry that shows nothing at all is not to be believed more than the engines.
     if (servers.empty())
         return;
-    auto& planner = this->planners.try_emplace(service.name, *service.scaling).first->second;
+    const auto [place, isNew] = this->planners.try_emplace(service.name, *service.scaling);
+    auto& planner = place->second;
+    const auto before = this->recorded.find(service.name);
+    if (isNew && before != this->recorded.end())
+        planner.restoreNeeded(before->second, now);
     const auto slots = service.engine ? service.engine->slots : servers.front()->slots;
     const auto demand = this->demandFor(service.name);
     this->metrics.setGauge("read_tokens_per_second", demand.readTokensPerSecond);
--- a/src/gateway/fleetcontroller.h
+++ b/src/gateway/fleetcontroller.h
@@ -5,6 +5,7 @@
 #include "fleetplanner.h"
 #include "gatewayboard.h"
 #include "gatewaysettings.h"
+#include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "statesource.h"
 
@@ -22,11 +23,12 @@
  * Orders engines for the services that may be scaled, on the leader.
  *
  * An order names the whole number of engines, so that it can be given again;
- * it is, when the engines that registered do not follow it.
+ * it is, when the engines that registered do not follow it. How many are needed
+ * is kept in the store, for the next leader.
  */
 class FleetController : public StateSource {
 public:
-    FleetController(EventLoop&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, LeadershipController&, Metrics&, const EventLog&);
+    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, LeadershipController&, Metrics&, const EventLog&);
     ~FleetController() override;
 
     auto begin() -> void;
@@ -45,12 +47,15 @@
     };
 
     auto tick() -> void;
+    auto beginLeading(std::uint64_t newFence, EventLoop::TimePoint now) -> void;
+    auto fetchRecord() -> void;
+    auto writeRecord() -> void;
     auto planService(const TrafficService&, EventLoop::TimePoint now) -> void;
     [[nodiscard]] auto demandFor(const std::string& service) const -> ServiceDemand;
     auto order(const TrafficService&, const FleetTarget&, std::int64_t present, EventLoop::TimePoint now) -> void;
     auto orderEnded(const OrderKey&, std::error_code, std::uint64_t fence) -> void;
 
-    EventLoop& loop;
+    KeyValueStore& store;
     FleetApi& fleet;
     const GatewaySettings& settings;
     GatewayBoard& board;
@@ -61,6 +66,10 @@
     Timer timer;
     std::uint64_t fence = 0;
     EventLoop::TimePoint leadingSince;
+    std::map<std::string, std::int64_t> recorded; ///< Engines needed of each service, as the store has them.
+    StoreRevision recordRevision = 0;
+    bool isRecordKnown = false;
+    bool isCallingStore = false;
     std::map<std::string, FleetPlanner> planners; ///< By service.
     std::map<OrderKey, Order> orders;
     std::shared_ptr<bool> isAlive;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -33,7 +33,7 @@
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
     , coordination(loop, *this->systems.store, this->settings, this->shared, this->metrics, this->log, [this] { return this->forwarding.takeReport(); })
     , duties(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
-    , fleet(loop, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->metrics, this->log)
+    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->metrics, this->log)
     , callers(loop, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
     , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isKnowledgeFresh(); })
     , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
--- a/src/traffic/fleetplanner.cpp
+++ b/src/traffic/fleetplanner.cpp
@@ -42,6 +42,12 @@
     entry.startingUntil = now;
 }
 
+auto FleetPlanner::restoreNeeded(std::int64_t needed, TimePoint now) -> void
+{
+    this->held = needed;
+    this->heldUntil = now + holdTime;
+}
+
 auto FleetPlanner::neededEngines(const ServiceDemand& demand, std::int64_t slots, std::int64_t present) const -> std::int64_t
 {
     // Before anything was measured, what is there is what is needed.
--- a/src/traffic/fleetplanner.h
+++ b/src/traffic/fleetplanner.h
@@ -46,6 +46,12 @@
     /** The platform had no reclaimable engine for \a zone. */
     auto reclaimableRefused(const std::string& zone, TimePoint now) -> void;
 
+    /** Returns how many engines the service needs, as planned last; 0 before the first plan. */
+    [[nodiscard]] auto neededLast() const -> std::int64_t { return this->held; }
+
+    /** Takes over how many engines an earlier leader held for needed, until a demand is measured. */
+    auto restoreNeeded(std::int64_t needed, TimePoint now) -> void;
+
     /** Returns what the service is to have now, given its \a servers. */
     auto plan(const ServiceDemand&, std::int64_t slots, const std::vector<const BackendServer*>& servers, TimePoint now) -> std::vector<FleetTarget>;
 
