Tests: Added the tests of the gateway, refused header names with a space

Cause: http_parser takes 'Host : x' for a header named 'Host ', which another reader may take for Host: a way to smuggle a length. Change: such a message is malformed. Tables for the decisions, the parser, the adapter and the whole node against a stand-in of the platform.

--- a/src/forwarding/messageparser.cpp
+++ b/src/forwarding/messageparser.cpp
@@ -71,6 +71,7 @@
     this->isHeadWhole = false;
     this->isWhole = false;
     this->isBodiless = bodiless;
+    this->hasBadName = false;
 }
 
 auto MessageParser::feed(std::string_view bytes, std::size_t& taken) -> ParseResult
@@ -80,6 +81,8 @@
     if (!wasHeadWhole)
         this->headBytes += taken;
     const auto error = HTTP_PARSER_ERRNO(this->parser.get());
+    if (this->hasBadName)
+        return ParseResult::Malformed;
     if (this->isWhole && (error == HPE_PAUSED || error == HPE_OK))
         return ParseResult::Complete;
     if (!this->isHeadWhole && (this->headBytes > this->maxHeadBytes || error == HPE_HEADER_OVERFLOW))
@@ -110,6 +113,8 @@
 
 auto MessageParser::flushHeader() -> void
 {
+    if (this->fieldName.find_first_of(" \t") != std::string::npos)
+        this->hasBadName = true;
     if (!this->fieldName.empty())
         this->current.headers.add(std::exchange(this->fieldName, {}), std::exchange(this->fieldValue, {}));
     this->isInValue = false;
--- a/src/forwarding/messageparser.h
+++ b/src/forwarding/messageparser.h
@@ -89,6 +89,7 @@
     bool isHeadWhole = false;
     bool isWhole = false;
     bool isBodiless = false;
+    bool hasBadName = false; ///< A header name with a space, which others may read as the name without it.
 };
 
 } // namespace Primrosefork
--- /dev/null
+++ b/tests/platform/scriptedserver.cpp
@@ -0,0 +1,100 @@
+#include "scriptedserver.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+namespace Primrosefork::Testkit {
+
+namespace {
+
+/** Returns how many bytes the first whole request of \a input has, or 0. */
+auto wholeRequest(const std::string& input) -> std::size_t
+{
+    const auto end = input.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return 0;
+    const auto length = headerOf(input.substr(0, end + 2), "Content-Length");
+    const auto size = end + 4 + (length.empty() ? 0 : std::stoul(length));
+    return input.size() >= size ? size : 0;
+}
+
+} // namespace
+
+auto headerOf(const std::string& message, const std::string& name) -> std::string
+{
+    const auto place = message.find("\r\n" + name + ": ");
+    if (place == std::string::npos)
+        return "";
+    const auto start = place + name.size() + 4;
+    return message.substr(start, message.find("\r\n", start) - start);
+}
+
+ScriptedServer::ScriptedServer(EventLoop& loop, const Address& address, Script script)
+    : loop(loop)
+    , script(std::move(script))
+{
+    sockaddr_in local {};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &local.sin_addr);
+    this->listener = evconnlistener_new_bind(
+        loop.base(), [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) { static_cast<ScriptedServer*>(self)->accepted(socket); }, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64, reinterpret_cast<sockaddr*>(&local), sizeof local);
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    evconnlistener_free(this->listener);
+    for (const auto& [stream, input] : this->inputs)
+        bufferevent_free(stream);
+}
+
+auto ScriptedServer::accepted(int socket) -> void
+{
+    auto* stream = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    this->inputs[stream] = "";
+    bufferevent_setcb(
+        stream, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->readable(from); }, nullptr,
+        [](bufferevent* from, short, void* argument) {
+            auto* self = static_cast<ScriptedServer*>(argument);
+            ++self->closedByPeer;
+            self->inputs.erase(from);
+            bufferevent_free(from);
+        },
+        this);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+}
+
+auto ScriptedServer::readable(bufferevent* stream) -> void
+{
+    auto* buffer = bufferevent_get_input(stream);
+    auto& input = this->inputs[stream];
+    const auto size = evbuffer_get_length(buffer);
+    input.append(reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1)), size);
+    evbuffer_drain(buffer, size);
+    for (auto whole = wholeRequest(input); whole > 0; whole = wholeRequest(input)) {
+        this->requests.push_back(input.substr(0, whole));
+        input.erase(0, whole);
+        const auto answer = this->script(this->requests.back());
+        bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
+        if (!answer.closes)
+            continue;
+        bufferevent_setcb(
+            stream, nullptr,
+            [](bufferevent* from, void* argument) {
+                static_cast<ScriptedServer*>(argument)->inputs.erase(from);
+                bufferevent_free(from);
+            },
+            nullptr, this);
+        if (answer.bytes.empty()) {
+            this->inputs.erase(stream);
+            bufferevent_free(stream);
+        }
+        return;
+    }
+}
+
+} // namespace Primrosefork::Testkit
--- /dev/null
+++ b/tests/platform/storestandin.cpp
@@ -0,0 +1,174 @@
+#include "storestandin.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+namespace Primrosefork::Testkit {
+
+namespace {
+
+using Json = nlohmann::json;
+
+auto encode(const std::string& value) -> std::string
+{
+    std::string text(sodium_base64_encoded_len(value.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(value.data()), value.size(), sodium_base64_VARIANT_ORIGINAL);
+    text.pop_back();
+    return text;
+}
+
+auto decode(const std::string& text) -> std::string
+{
+    std::string value(text.size(), '\0');
+    std::size_t size = 0;
+    sodium_base642bin(reinterpret_cast<unsigned char*>(value.data()), value.size(), text.data(), text.size(), nullptr, &size, nullptr, sodium_base64_VARIANT_ORIGINAL);
+    value.resize(size);
+    return value;
+}
+
+auto answer(HttpExchange& exchange, int status, const Json& body) -> void
+{
+    exchange.respond({ status, { { "Content-Type", "application/json" } }, body.dump() });
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(EventLoop& loop, const Address& storeAddress, const Address& fleetAddress)
+    : store(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
+    , fleet(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        const auto& request = exchange->request();
+        this->fleetCalls.push_back({ request.path, request.headers.get("X-Duty-Holder").value_or(""), request.headers.get("X-Fence-Token").value_or(""), request.body });
+        answer(*exchange, HttpStatus::ok, Json::object());
+    })
+{
+    static_cast<void>(this->store.listen(storeAddress));
+    static_cast<void>(this->fleet.listen(fleetAddress));
+}
+
+auto StoreStandIn::put(const std::string& key, const std::string& value) -> void
+{
+    this->write(key, encode(value), 0, false);
+    this->answerWatches();
+}
+
+auto StoreStandIn::remove(const std::string& key) -> void
+{
+    this->write(key, "", 0, true);
+    this->answerWatches();
+}
+
+auto StoreStandIn::valueOf(const std::string& key) const -> std::string
+{
+    const auto found = this->items.find(key);
+    return found == this->items.end() || found->second.isDeleted ? "" : decode(found->second.value);
+}
+
+auto StoreStandIn::endLeases() -> void
+{
+    for (const auto& [key, item] : std::map(this->items)) {
+        if (item.lease != 0 && !item.isDeleted)
+            this->write(key, "", 0, true);
+    }
+    this->answerWatches();
+}
+
+auto StoreStandIn::write(const std::string& key, const std::string& encoded, std::uint64_t lease, bool isDeleted) -> void
+{
+    this->items[key] = { encoded, ++this->revision, lease, isDeleted };
+}
+
+auto StoreStandIn::handle(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto& request = exchange->request();
+    if (this->failure != 0)
+        return answer(*exchange, this->failure, Json::object());
+    if (request.path == "/kv-range")
+        return this->range(*exchange);
+    if (request.path == "/kv-txn")
+        return this->transact(exchange);
+    if (request.path == "/kv-lease")
+        return answer(*exchange, HttpStatus::ok, { { "lease", this->nextLease++ }, { "ttl-ms", 3000 } });
+    if (request.path.starts_with("/kv-keep/"))
+        return answer(*exchange, HttpStatus::ok, { { "ttl-ms", 3000 } });
+    if (request.path == "/kv-key") {
+        const auto found = this->items.find(request.queryValue("key").value_or(""));
+        if (found == this->items.end() || found->second.isDeleted)
+            return answer(*exchange, HttpStatus::notFound, Json::object());
+        return answer(*exchange, HttpStatus::ok,
+            { { "key", found->first }, { "value", found->second.value }, { "revision", found->second.revision }, { "current-rev", this->revision } });
+    }
+    if (request.path == "/kv-watch") {
+        const auto after = std::strtoull(request.queryValue("after").value_or("0").c_str(), nullptr, 10);
+        if (after < this->oldest)
+            return answer(*exchange, 410, Json::object());
+        this->watches.push_back({ request.queryValue("prefix").value_or(""), after, exchange });
+        return this->answerWatches();
+    }
+    answer(*exchange, HttpStatus::notFound, Json::object());
+}
+
+auto StoreStandIn::range(HttpExchange& exchange) -> void
+{
+    const auto prefix = exchange.request().queryValue("prefix").value_or("");
+    const auto after = exchange.request().queryValue("after").value_or("");
+    auto list = Json::array();
+    bool hasMore = false;
+    for (const auto& [key, item] : this->items) {
+        if (!key.starts_with(prefix) || key <= after || item.isDeleted)
+            continue;
+        hasMore = list.size() >= this->pageSize;
+        if (hasMore)
+            break;
+        list.push_back({ { "key", key }, { "value", item.value }, { "revision", item.revision }, { "created-rev", item.revision }, { "lease", item.lease } });
+    }
+    answer(exchange, HttpStatus::ok, { { "items", list }, { "more-pages", hasMore }, { "current-rev", this->revision } });
+}
+
+auto StoreStandIn::transact(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto body = Json::parse(exchange->request().body);
+    for (const auto& expected : body["expect-rev"]) {
+        const auto key = expected["key"].get<std::string>();
+        const auto found = this->items.find(key);
+        const auto isThere = found != this->items.end() && !found->second.isDeleted;
+        if ((isThere ? found->second.revision : 0) == expected["revision"].get<std::uint64_t>())
+            continue;
+        auto list = Json::array();
+        if (isThere)
+            list.push_back({ { "key", key }, { "value", found->second.value }, { "revision", found->second.revision } });
+        return answer(*exchange, 412, { { "items", list }, { "current-rev", this->revision } });
+    }
+    for (const auto& put : body["puts"])
+        this->write(put["key"].get<std::string>(), put["value"].get<std::string>(), put.value("lease", std::uint64_t { 0 }), false);
+    if (this->losesWrites)
+        exchange->abort();
+    else
+        answer(*exchange, HttpStatus::ok, { { "revision", this->revision } });
+    this->answerWatches();
+}
+
+auto StoreStandIn::answerWatches() -> void
+{
+    if (this->holdsWatches)
+        return;
+    for (auto watch = this->watches.begin(); watch != this->watches.end();) {
+        auto events = Json::array();
+        for (const auto& [key, item] : this->items) {
+            if (!key.starts_with(watch->prefix) || item.revision <= watch->after)
+                continue;
+            if (item.isDeleted)
+                events.push_back({ { "key", key }, { "revision", item.revision }, { "tombstone", true } });
+            else
+                events.push_back({ { "key", key }, { "value", item.value }, { "revision", item.revision } });
+        }
+        if (events.empty()) {
+            ++watch;
+            continue;
+        }
+        answer(*watch->exchange, HttpStatus::ok, { { "events", events }, { "current-rev", this->revision } });
+        watch = this->watches.erase(watch);
+    }
+}
+
+} // namespace Primrosefork::Testkit
--- /dev/null
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -0,0 +1,118 @@
+#include "cacheawarepolicy.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <vector>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+using TimePoint = RoutingPolicy::TimePoint;
+
+constexpr TimePoint start = TimePoint {} + 1h;
+
+class Pool {
+public:
+    Pool(int count, BackendKind kind)
+    {
+        for (int index = 0; index < count; ++index) {
+            BackendServer server;
+            server.id = "s" + std::to_string(index);
+            server.kind = kind;
+            server.pool = "pool";
+            server.zone = "a";
+            server.slots = kind == BackendKind::Plain ? 6 : 64;
+            this->servers.push_back(server);
+        }
+        for (const auto& server : this->servers)
+            this->pointers.push_back(&server);
+    }
+
+    std::vector<BackendServer> servers;
+    std::vector<const BackendServer*> pointers;
+};
+
+auto makeRequest(std::uint64_t id, std::span<const PromptPart> parts) -> RoutingRequest
+{
+    RoutingRequest request;
+    request.id = id;
+    request.zone = "a";
+    request.promptParts = parts;
+    for (const auto& part : parts)
+        request.promptTokens += part.tokens;
+    return request;
+}
+
+TEST_CASE("a session goes to one engine on every node")
+{
+    const Pool pool(12, BackendKind::Engine);
+    for (std::uint64_t session = 1; session <= 50; ++session) {
+        const std::vector<PromptPart> parts { { 1, 2'500 }, { 1'000 + session, 3'800 }, { 5'000 + session, 2'900 } };
+        CacheAwarePolicy first(1);
+        CacheAwarePolicy second(2);
+        const auto* home = first.choose(makeRequest(1, parts), pool.pointers, start);
+        REQUIRE(home != nullptr);
+        CHECK(second.choose(makeRequest(1, parts), pool.pointers, start) == home);
+    }
+}
+
+TEST_CASE("a home that is much busier than it saves is passed over")
+{
+    const Pool pool(4, BackendKind::Engine);
+    CacheAwarePolicy policy(1);
+    const std::vector<PromptPart> parts { { 1, 300 }, { 2, 200 }, { 3, 1'800 } };
+    std::map<std::string, int> chosen;
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        const auto request = makeRequest(id, parts);
+        const auto* server = policy.choose(request, pool.pointers, start);
+        REQUIRE(server != nullptr);
+        policy.requestSent(request, *server, start);
+        ++chosen[server->id];
+    }
+    CHECK(chosen.size() == 4);
+    for (const auto& [id, count] : chosen)
+        CHECK(count >= 5);
+}
+
+TEST_CASE("a server that other nodes keep busy gets less")
+{
+    const Pool pool(2, BackendKind::Plain);
+    CacheAwarePolicy policy(1);
+    policy.loadObserved(pool.servers[0], { 6, 10, 6, 100 }, start);
+    policy.loadObserved(pool.servers[1], { 1, 0, 6, 100 }, start);
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        CHECK(policy.choose(makeRequest(id, {}), pool.pointers, start + 10ms) == &pool.servers[1]);
+}
+
+TEST_CASE("an old load counts for nothing")
+{
+    const Pool pool(2, BackendKind::Plain);
+    CacheAwarePolicy policy(1);
+    policy.loadObserved(pool.servers[0], { 6, 10, 6, 100 }, start);
+    std::map<const BackendServer*, int> chosen;
+    for (std::uint64_t id = 1; id <= 50; ++id)
+        ++chosen[policy.choose(makeRequest(id, {}), pool.pointers, start + 10s)];
+    CHECK(chosen[&pool.servers[0]] > 5);
+}
+
+TEST_CASE("a server that failed is avoided while others are there, and used when it is alone")
+{
+    const Pool pool(2, BackendKind::Plain);
+    CacheAwarePolicy policy(1);
+    const auto request = makeRequest(1, {});
+    policy.requestSent(request, pool.servers[0], start);
+    policy.requestEnded(request, pool.servers[0], AttemptEnd::Failed, start);
+    CHECK(policy.choose(makeRequest(2, {}), pool.pointers, start + 10ms) == &pool.servers[1]);
+    const std::vector<const BackendServer*> alone { &pool.servers[0] };
+    CHECK(policy.choose(makeRequest(3, {}), alone, start + 10ms) == &pool.servers[0]);
+}
+
+TEST_CASE("there is no server among none")
+{
+    CacheAwarePolicy policy(1);
+    CHECK(policy.choose(makeRequest(1, {}), std::vector<const BackendServer*> {}, start) == nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/traffic/test_eventsplitter.cpp
@@ -0,0 +1,70 @@
+#include "eventsplitter.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace Primrosefork;
+
+namespace {
+
+struct SplitCase {
+    const char* name;
+    std::string bytes;
+    std::vector<std::string> ids; ///< Of the whole events; "-" for one without.
+    bool hasPartial;
+};
+
+const SplitCase splitCases[] = {
+    { "nothing", "", {}, false },
+    { "one event", "id: 1\ndata: a\n\n", { "1" }, false },
+    { "two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", { "1", "2" }, false },
+    { "carriage returns", "id: 1\r\ndata: a\r\n\r\n", { "1" }, false },
+    { "an event without an id", "data: a\n\n", { "-" }, false },
+    { "the id may come last", "data: a\nid: 7\n\n", { "7" }, false },
+    { "cut in the middle of a line", "id: 1\ndata: a\n\nid: 2\nda", { "1" }, true },
+    { "cut before the empty line", "id: 1\ndata: a\n", {}, true },
+    { "a data line that names an id", "data: id: 9\n\n", { "-" }, false },
+};
+
+auto split(const std::vector<std::string>& pieces, std::vector<std::string>& texts) -> std::pair<std::vector<std::string>, bool>
+{
+    EventSplitter splitter;
+    std::vector<std::string> ids;
+    for (const auto& piece : pieces) {
+        splitter.add(piece, [&](const StreamEvent& event) {
+            ids.emplace_back(event.id ? std::string(*event.id) : "-");
+            texts.emplace_back(event.text);
+        });
+    }
+    return { ids, splitter.hasPartialEvent() };
+}
+
+TEST_CASE("whole events are passed on and a part is kept back")
+{
+    for (const auto& row : splitCases) {
+        CAPTURE(row.name);
+        std::vector<std::string> texts;
+        const auto [ids, hasPartial] = split({ row.bytes }, texts);
+        CHECK(ids == row.ids);
+        CHECK(hasPartial == row.hasPartial);
+    }
+}
+
+TEST_CASE("the place of a cut changes nothing")
+{
+    for (const auto& row : splitCases) {
+        CAPTURE(row.name);
+        std::vector<std::string> whole;
+        split({ row.bytes }, whole);
+        for (std::size_t cut = 0; cut <= row.bytes.size(); ++cut) {
+            std::vector<std::string> texts;
+            const auto [ids, hasPartial] = split({ row.bytes.substr(0, cut), row.bytes.substr(cut) }, texts);
+            CHECK(ids == row.ids);
+            CHECK(texts == whole);
+            CHECK(hasPartial == row.hasPartial);
+        }
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/traffic/test_fleetplanner.cpp
@@ -0,0 +1,178 @@
+#include "fleetplanner.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <numeric>
+#include <vector>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+using TimePoint = FleetPlanner::TimePoint;
+
+constexpr TimePoint start = TimePoint {} + 1h;
+constexpr std::int64_t slots = 64;
+
+auto makeTerms() -> ScalingTerms
+{
+    ScalingTerms terms;
+    terms.least = 1;
+    terms.most = 8;
+    terms.bootTime = 4s;
+    terms.reclaimablePrice = 0.22;
+    terms.zonePrices = { { "a", 0.85 }, { "b", 1.2 }, { "c", 1.0 } };
+    return terms;
+}
+
+/** Engines that are live, by zone and kind. */
+class Engines {
+public:
+    auto set(const std::string& zone, bool isReclaimable, int count) -> void
+    {
+        std::erase_if(this->all, [&](const BackendServer& server) { return server.zone == zone && server.isReclaimable == isReclaimable; });
+        for (int index = 0; index < count; ++index) {
+            BackendServer server;
+            server.id = zone + (isReclaimable ? "r" : "d") + std::to_string(index);
+            server.zone = zone;
+            server.isReclaimable = isReclaimable;
+            this->all.push_back(server);
+        }
+    }
+
+    [[nodiscard]] auto pointers() const -> std::vector<const BackendServer*>
+    {
+        std::vector<const BackendServer*> result;
+        for (const auto& server : this->all)
+            result.push_back(&server);
+        return result;
+    }
+
+private:
+    std::vector<BackendServer> all;
+};
+
+auto total(const std::vector<FleetTarget>& targets, bool isReclaimable) -> std::int64_t
+{
+    return std::accumulate(targets.begin(), targets.end(), std::int64_t { 0 },
+        [isReclaimable](std::int64_t sum, const FleetTarget& target) { return sum + (target.isReclaimable == isReclaimable ? target.count : 0); });
+}
+
+/** A demand that one engine could just read at full speed, times \a engines. */
+auto demandOf(double engines) -> ServiceDemand
+{
+    return { engines * 10'000, 10'000, 0 };
+}
+
+TEST_CASE("engines on demand stay until the reclaimable ones that replace them are there")
+{
+    FleetPlanner planner(makeTerms());
+    Engines engines;
+    for (const auto* zone : { "a", "b", "c" })
+        engines.set(zone, false, 4);
+    const auto first = planner.plan(demandOf(3), slots, engines.pointers(), start);
+    CHECK(total(first, true) >= 7); // 3 engines' work at 0.45 of their rate.
+    CHECK(total(first, false) >= 7);
+    for (const auto* zone : { "a", "b", "c" })
+        engines.set(zone, true, 4);
+    const auto second = planner.plan(demandOf(3), slots, engines.pointers(), start + 5s);
+    CHECK(total(second, false) == 0);
+}
+
+struct LossCase {
+    const char* name;
+    int left; ///< Reclaimable engines in each of the two other zones.
+    std::int64_t leastOnDemand;
+};
+
+const LossCase lossCases[] = {
+    { "enough is left, and after another loss", 8, 0 },
+    { "enough is left, but not after another loss", 4, 2 },
+    { "too little is left", 2, 3 },
+    { "nothing is left", 0, 7 },
+};
+
+TEST_CASE("what is missing after a zone was taken is ordered on demand")
+{
+    for (const auto& row : lossCases) {
+        CAPTURE(row.name);
+        FleetPlanner planner(makeTerms());
+        Engines engines;
+        for (const auto* zone : { "a", "b", "c" })
+            engines.set(zone, true, 4);
+        static_cast<void>(planner.plan(demandOf(3), slots, engines.pointers(), start));
+        engines.set("a", true, row.left);
+        engines.set("b", true, row.left);
+        engines.set("c", true, 0);
+        planner.reclaimableRefused("c", start + 1s);
+        const auto targets = planner.plan(demandOf(3), slots, engines.pointers(), start + 1s);
+        CHECK(total(targets, false) >= row.leastOnDemand);
+    }
+}
+
+TEST_CASE("refusals do not move engines on demand between zones")
+{
+    FleetPlanner planner(makeTerms());
+    Engines engines;
+    engines.set("a", true, 2);
+    std::map<std::string, std::int64_t> ordered;
+    for (int step = 0; step < 40; ++step) {
+        const auto now = start + step * 500ms;
+        for (const auto& target : planner.plan(demandOf(3), slots, engines.pointers(), now)) {
+            if (target.isReclaimable) {
+                if (target.zone != "a")
+                    planner.reclaimableRefused(target.zone, now);
+                continue;
+            }
+            if (step > 0)
+                CHECK(target.count >= ordered[target.zone]);
+            ordered[target.zone] = target.count;
+        }
+    }
+}
+
+TEST_CASE("reclaimable engines are not given back while a zone has none")
+{
+    FleetPlanner planner(makeTerms());
+    Engines engines;
+    for (const auto* zone : { "a", "b", "c" })
+        engines.set(zone, true, 6);
+    static_cast<void>(planner.plan(demandOf(5), slots, engines.pointers(), start));
+    planner.reclaimableRefused("c", start + 19s);
+    engines.set("c", true, 0);
+    // The need has fallen long ago.
+    for (const auto& target : planner.plan(demandOf(1), slots, engines.pointers(), start + 20s)) {
+        if (target.isReclaimable && target.zone != "c")
+            CHECK(target.count == 6);
+    }
+}
+
+TEST_CASE("each zone keeps the least and never exceeds the most")
+{
+    FleetPlanner planner(makeTerms());
+    const Engines none;
+    for (int step = 0; step < 20; ++step) {
+        std::map<std::string, std::int64_t> sums;
+        for (const auto& target : planner.plan(demandOf(50), slots, none.pointers(), start + step * 500ms))
+            sums[target.zone] += target.count;
+        for (const auto& [zone, sum] : sums) {
+            CAPTURE(zone);
+            CHECK(sum >= 1);
+            CHECK(sum <= 8);
+        }
+    }
+}
+
+TEST_CASE("a new leader begins with the need of the one before")
+{
+    FleetPlanner planner(makeTerms());
+    planner.restoreNeeded(9, start);
+    Engines engines;
+    engines.set("a", false, 1);
+    const auto targets = planner.plan({}, slots, engines.pointers(), start);
+    CHECK(planner.neededLast() == 9);
+    CHECK(total(targets, true) >= 9);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/traffic/test_quotalimiter.cpp
@@ -0,0 +1,130 @@
+#include "quotalimiter.h"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+using TimePoint = QuotaLimiter::TimePoint;
+
+constexpr TimePoint start {};
+constexpr QuotaTerms terms { 8s, 0.1, 110'000 };
+
+auto makeWorkspace(std::int64_t perSecond, std::int64_t burst) -> TrafficWorkspace
+{
+    TrafficWorkspace workspace;
+    workspace.name = "salon";
+    workspace.quota = { perSecond, burst, true, 200 };
+    return workspace;
+}
+
+TEST_CASE("a workspace without a quota is never refused")
+{
+    QuotaLimiter limiter(terms, start);
+    const auto workspace = makeWorkspace(0, 0);
+    CHECK_FALSE(limiter.request(workspace, 1e9, start).has_value());
+}
+
+TEST_CASE("a node that starts grants nothing before its bucket has filled")
+{
+    QuotaLimiter limiter(terms, start);
+    const auto workspace = makeWorkspace(10'000, 10'000);
+    CHECK(limiter.request(workspace, 5'000, start).has_value());
+    CHECK_FALSE(limiter.request(workspace, 5'000, start + 1s).has_value());
+}
+
+TEST_CASE("the wait that is told is long enough")
+{
+    QuotaLimiter limiter(terms, start);
+    const auto workspace = makeWorkspace(1'000, 1'000);
+    const auto wait = limiter.request(workspace, 4'000, start + 1s);
+    REQUIRE(wait.has_value());
+    CHECK_FALSE(limiter.request(workspace, 4'000, start + 1s + *wait).has_value());
+}
+
+struct WindowCase {
+    const char* name;
+    std::size_t nodes;
+    double units; ///< Of each request.
+};
+
+const WindowCase windowCases[] = {
+    { "one node, small requests", 1, 500 },
+    { "eight nodes, small requests", 8, 500 },
+    { "eight nodes, requests of a mean size", 8, 9'000 },
+};
+
+/** Asks every node for as much as it grants and returns the most that was granted in any window. */
+auto mostInWindow(std::size_t nodes, double units, const TrafficWorkspace& workspace) -> double
+{
+    std::vector<QuotaLimiter> limiters(nodes, QuotaLimiter(terms, start));
+    for (auto& limiter : limiters)
+        limiter.setNodeCount(nodes);
+    std::vector<double> granted;
+    constexpr auto step = 10ms;
+    for (auto now = start + 10s; now < start + 40s; now += step) {
+        double sum = 0;
+        for (auto& limiter : limiters) {
+            while (!limiter.request(workspace, units, now))
+                sum += units;
+        }
+        granted.push_back(sum);
+    }
+    double most = 0;
+    const auto length = static_cast<std::size_t>(terms.window / step);
+    for (std::size_t first = 0; first + length <= granted.size(); ++first) {
+        double sum = 0;
+        for (std::size_t index = first; index < first + length; ++index)
+            sum += granted[index];
+        most = std::max(most, sum);
+    }
+    return most;
+}
+
+TEST_CASE("nodes that do not hear each other stay within the quota together")
+{
+    const auto workspace = makeWorkspace(180'000, 180'000);
+    // What the platform's bounds allow in a window: (rate x window + burst) x (1 + excess) + slack.
+    const auto allowed = (180'000.0 * 8 + 180'000.0) * 1.1 + 110'000;
+    for (const auto& row : windowCases) {
+        CAPTURE(row.name);
+        const auto most = mostInWindow(row.nodes, row.units, workspace);
+        CHECK(most <= allowed);
+        CHECK(most >= 180'000.0 * 8); // And grant what a workspace is owed.
+    }
+}
+
+TEST_CASE("a share that the leader told holds until its time is over")
+{
+    QuotaLimiter limiter(terms, start);
+    limiter.setNodeCount(10);
+    limiter.setShare("salon", 0.9, start + 20s);
+    const auto workspace = makeWorkspace(10'000, 10'000);
+    const auto grantsIn = [&](TimePoint from) {
+        int grants = 0;
+        for (auto now = from; now < from + 10s; now += 10ms)
+            grants += limiter.request(workspace, 1'000, now) ? 0 : 1;
+        return grants;
+    };
+    static_cast<void>(grantsIn(start));
+    CHECK(grantsIn(start + 10s) >= 85); // Nine tenths of ten a second.
+    static_cast<void>(grantsIn(start + 20s));
+    CHECK(grantsIn(start + 30s) <= 15); // A tenth.
+}
+
+TEST_CASE("demand is what was asked, and is taken once")
+{
+    QuotaLimiter limiter(terms, start);
+    const auto workspace = makeWorkspace(1'000, 1'000);
+    static_cast<void>(limiter.request(workspace, 300, start + 5s));
+    static_cast<void>(limiter.request(workspace, 1e6, start + 5s));
+    const auto demand = limiter.takeDemand();
+    REQUIRE(demand.contains("salon"));
+    CHECK(demand.at("salon").asked == doctest::Approx(1'000'300));
+    CHECK(limiter.takeDemand().empty());
+}
+
+} // namespace
