--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -89,7 +89,7 @@
         R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("once", "non_idempotent", "app", R"(,"max-attempts":1)") + ","
             + route("read", "idempotent", "app", R"(,"max-attempts":2)") + "," + route("stream", "streaming", "llm", R"(,"max-attempts":1)") + ","
             + route("chat", "streaming", "llm", R"(,"max-attempts":2,"can-resume":true)")
-            + R"(],"services":[{"name":"app","max-conns":110},{"name":"llm","max-conns":370,"engine":{"capacity":64,"kv-tokens":300000}}],"tenants":[{"name":"salon","api-keys":)" + keys + "}]}");
+            + R"(],"services":[{"name":"app","max-conns":110},{"name":"llm","max-conns":370,"engine":{"capacity":64,"kv-tokens":300000,"moves":true}}],"tenants":[{"name":"salon","api-keys":)" + keys + "}]}");
 }
 
 auto GatewayFixture::registerServer(const std::string& id, const std::string& service, int port, const std::string& state) -> void
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -52,6 +52,13 @@
         bufferevent_free(stream);
 }
 
+auto ScriptedServer::closeAll() -> void
+{
+    for (const auto& [stream, input] : this->inputs)
+        bufferevent_free(stream);
+    this->inputs.clear();
+}
+
 auto ScriptedServer::accepted(int socket) -> void
 {
     auto* stream = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -32,6 +32,9 @@
     ScriptedServer(const ScriptedServer&) = delete;
     auto operator=(const ScriptedServer&) -> ScriptedServer& = delete;
 
+    /** Closes all connections, as a server that ends does. */
+    auto closeAll() -> void;
+
     /** Every request that came, head and body. */
     std::vector<std::string> requests;
 
