Gateway: Kept the number of nodes in the store, filled quota buckets for a restart

Ruled out: the quota itself, which the tenants did not reach. Change: the leader writes the number of nodes when it has held for 3 s, a node reads it at its start; buckets fill from half a second before the start, the least time that a process is away.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -5,7 +5,9 @@
 #include "metrics.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 using namespace std::chrono_literals;
 
@@ -14,6 +16,8 @@
 namespace {
 
 constexpr auto peerKeyKey = "primrosefork/peer-key";
+constexpr auto nodesKey = "primrosefork/nodes";
+constexpr auto settledTime = 3s; ///< For which a number of nodes has to hold before it is written.
 constexpr std::size_t secretBytes = 32;
 constexpr std::chrono::milliseconds keyRetry = 500ms;
 constexpr std::chrono::milliseconds reportPeriod = 500ms; ///< A tenth of an accounting window, and several within a quota's.
@@ -60,6 +64,7 @@
     if (const auto error = this->socket.bind(this->settings.peers))
         return error;
     this->fetchKey();
+    this->fetchNodeCount();
     this->reportTimer.startRepeating(reportPeriod);
     return {};
 }
@@ -91,6 +96,40 @@
     this->keyring.emplace(std::vector<PeerKey> { { 1, secret } });
 }
 
+auto CoordinationController::fetchNodeCount() -> void
+{
+    this->store.get(nodesKey, [this, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
+        if (!*alive || error || !entry)
+            return;
+        this->nodesRevision = entry->revision;
+        this->recordedNodes = std::strtoull(entry->value.c_str(), nullptr, 10);
+        // A node that has just started goes by what the last leader saw, until this one answers.
+        if (this->recordedNodes > 0 && this->share.value().quotaShares.empty())
+            this->share.write({ this->recordedNodes, {} });
+    });
+}
+
+auto CoordinationController::recordNodeCount(std::size_t nodes) -> void
+{
+    const auto now = EventLoop::now();
+    if (nodes != this->changedNodes) {
+        this->changedNodes = nodes;
+        this->changedSince = now;
+    }
+    if (nodes == this->recordedNodes || now - this->changedSince < settledTime || std::exchange(this->isRecording, true))
+        return;
+    this->store.compareAndSwap({ nodesKey, this->nodesRevision, std::to_string(nodes), 0 },
+        [this, nodes, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+            if (!*alive)
+                return;
+            this->isRecording = false;
+            if (error)
+                return;
+            this->nodesRevision = result.current.revision;
+            this->recordedNodes = result.isSwapped ? nodes : std::strtoull(result.current.value.c_str(), nullptr, 10);
+        });
+}
+
 auto CoordinationController::report() -> void
 {
     const auto& leadership = this->board.leadership.value();
@@ -101,6 +140,7 @@
         message.session = this->session;
         message.sequence = ++this->sequence;
         static_cast<void>(this->takeReport(message));
+        this->recordNodeCount(this->liveNodes());
         return this->takeAnswer(this->answerFor(this->settings.id));
     }
     if (leadership.leaderAddress.port != 0)
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -55,6 +55,8 @@
     auto fetchKey() -> void;
     auto createKey() -> void;
     auto setKey(const std::string& secret) -> void;
+    auto fetchNodeCount() -> void;
+    auto recordNodeCount(std::size_t nodes) -> void;
     auto report() -> void;
     auto received(const Address& sender, std::span<const std::uint8_t> datagram) -> void;
     auto takeReport(const FleetMessage&) -> bool;
@@ -78,6 +80,11 @@
     KnownNodes known;
     std::uint64_t session;
     std::uint32_t sequence = 0;
+    std::size_t recordedNodes = 0; ///< As the store has it.
+    StoreRevision nodesRevision = 0;
+    std::size_t changedNodes = 0; ///< Another number, and since when it was seen.
+    EventLoop::TimePoint changedSince;
+    bool isRecording = false;
     std::shared_ptr<bool> isAlive;
 };
 
--- a/src/traffic/quotalimiter.cpp
+++ b/src/traffic/quotalimiter.cpp
@@ -10,13 +10,14 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr std::chrono::milliseconds longestWait { 60'000 }; ///< Told to a caller whose request can never be granted.
+constexpr std::chrono::milliseconds leastAbsence { 500 }; ///< Between the end of a process and the start of the next, in which it granted nothing.
 constexpr double safePart = 0.8; ///< Of the burst that the terms allow; the rest covers requests larger than a node's share and shares that move.
 
 } // namespace
 
 QuotaLimiter::QuotaLimiter(const QuotaTerms& terms, TimePoint start)
     : terms(terms)
-    , start(start)
+    , start(start - leastAbsence)
 {
 }
 
--- a/src/traffic/quotalimiter.h
+++ b/src/traffic/quotalimiter.h
@@ -33,7 +33,7 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /** Buckets fill from \a start on, so that a node that starts anew grants nothing twice. */
+    /** Buckets fill from shortly before \a start on, so that a node that starts anew grants nothing twice. */
     QuotaLimiter(const QuotaTerms&, TimePoint start);
 
     /** Sets what the equal part is counted by. */
