--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -35,12 +35,6 @@
     return type && type->starts_with("text/event-stream");
 }
 
-auto toSeconds(std::chrono::milliseconds duration) -> std::string
-{
-    auto text = std::to_string(std::chrono::duration<double>(duration).count());
-    return text.substr(0, text.find('.') + 3);
-}
-
 auto priorityOf(const ForwardRequest& request) -> std::int64_t
 {
     const auto route = std::min(request.route->priority, routePriorities - 1);
@@ -74,8 +68,7 @@
 
 auto ForwardRun::begin() -> void
 {
-    this->deadlineTimer.start(std::max<std::chrono::microseconds>(
-        0us, std::chrono::duration_cast<std::chrono::microseconds>(this->details.deadline + deadlineGrace - EventLoop::now())));
+    this->deadlineTimer.start(timerDelay(this->details.deadline + deadlineGrace - EventLoop::now()));
     this->exchange->closed.connect([this, alive = this->isAlive] {
         if (*alive)
             this->callerGone();
@@ -390,7 +383,7 @@
 
 auto ForwardRun::refuse(const char* reason) -> void
 {
-    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", toSeconds(retryAfter) } }, "");
+    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(retryAfter) } }, "");
     this->noteOutcome(HttpStatus::unavailable, reason);
     this->finish();
 }
--- a/src/forwarding/hopheaders.cpp
+++ b/src/forwarding/hopheaders.cpp
@@ -51,6 +51,12 @@
     return result;
 }
 
+auto retryAfterValue(std::chrono::milliseconds wait) -> std::string
+{
+    auto text = std::to_string(std::chrono::duration<double>(wait).count());
+    return text.substr(0, text.find('.') + 3);
+}
+
 auto statusLine(int status) -> std::string
 {
     return "HTTP/1.1 " + std::to_string(status) + " " + http_status_str(static_cast<http_status>(status)) + "\r\n";
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -2,6 +2,7 @@
 
 #include "eventlog.h"
 #include "hash.h"
+#include "hopheaders.h"
 #include "metrics.h"
 
 #include <algorithm>
@@ -40,12 +41,6 @@
     return text;
 }
 
-auto toSeconds(std::chrono::milliseconds duration) -> std::string
-{
-    auto text = std::to_string(std::chrono::duration<double>(duration).count());
-    return text.substr(0, text.find('.') + 3);
-}
-
 } // namespace
 
 ForwardController::ForwardController(EventLoop& loop, const HeaderDialect& dialect, RunMover& mover, const GatewaySettings& settings, GatewayBoard& board,
@@ -147,7 +142,7 @@
 {
     HttpHeaders headers;
     if (refusal.retryAfter)
-        headers.add("Retry-After", toSeconds(*refusal.retryAfter));
+        headers.add("Retry-After", retryAfterValue(*refusal.retryAfter));
     this->metrics.count(std::string("refusals_total{reason=\"") + refusal.reason + "\"}");
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - this->board.traffic.value().confirmed);
     this->log.write(Event::RequestRefused,
--- a/src/http/eventloop.h
+++ b/src/http/eventloop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -41,6 +42,12 @@
     event_base* eventBase;
 };
 
+/** Returns \a duration as the delay of a timer: not below zero. */
+[[nodiscard]] constexpr auto timerDelay(EventLoop::TimePoint::duration duration) -> std::chrono::microseconds
+{
+    return std::max(std::chrono::duration_cast<std::chrono::microseconds>(duration), std::chrono::microseconds(0));
+}
+
 /**
  * Calls a task once or again and again after a delay.
  */
--- a/src/libprimrosefork/membership.h
+++ b/src/libprimrosefork/membership.h
@@ -32,6 +32,12 @@
     return "unknown";
 }
 
+/** Returns whether a peer in \a state is thought to answer. */
+[[nodiscard]] constexpr auto isLive(PeerState state) -> bool
+{
+    return state == PeerState::Alive || state == PeerState::Suspect;
+}
+
 /**
  * A peer node as this node knows it.
  */
--- a/src/node/membershipcontroller.cpp
+++ b/src/node/membershipcontroller.cpp
@@ -39,11 +39,6 @@
     return counts.malformed + counts.unknownKey + counts.notAuthentic + counts.old + counts.replayed;
 }
 
-auto isLive(const Peer& peer) -> bool
-{
-    return peer.state == PeerState::Alive || peer.state == PeerState::Suspect;
-}
-
 } // namespace
 
 MembershipController::MembershipController(EventLoop& loop, const NodeSettings& settings, Blackboard& blackboard, const EventLog& log, Metrics& metrics)
@@ -122,7 +117,7 @@
     this->logChanges(this->peers.value(), this->membership.peers());
     this->peers.write(this->membership.peers());
     const auto& known = this->membership.peers();
-    const auto live = std::count_if(known.begin(), known.end(), [](const auto& entry) { return isLive(entry.second); });
+    const auto live = std::count_if(known.begin(), known.end(), [](const auto& entry) { return isLive(entry.second.state); });
     this->metrics.setGauge("peers_live", static_cast<double>(live));
     if (this->notices.value() != this->membership.notices())
         this->notices.write(this->membership.notices());
@@ -134,7 +129,7 @@
     for (const auto& [id, peer] : after) {
         const auto earlier = before.find(id);
         const auto isKnown = earlier != before.end();
-        if (!isKnown || earlier->second.state != peer.state || (earlier->second.incarnation != peer.incarnation && !isLive(peer)))
+        if (!isKnown || earlier->second.state != peer.state || (earlier->second.incarnation != peer.incarnation && !isLive(peer.state)))
             this->logState(peer);
     }
 }
@@ -191,7 +186,7 @@
     if (this->membership.self().configurationRevision < newest)
         ids.push_back(this->membership.self().id);
     for (const auto& [id, peer] : this->membership.peers()) {
-        if (isLive(peer) && peer.configurationRevision < newest)
+        if (isLive(peer.state) && peer.configurationRevision < newest)
             ids.push_back(id);
     }
     return ids;
--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -31,8 +31,6 @@
 constexpr std::chrono::microseconds silenceReviewPeriod = 100ms; ///< Of an attempt without a token, whose engine others may find silent.
 constexpr std::chrono::milliseconds budgetWaitPeriod = 250ms; ///< For a begun answer when no retry is allowed.
 constexpr int maxFailuresInRow = 16; ///< Of a begun answer without a token between them.
-constexpr std::chrono::milliseconds moveStallLimit = 1s; ///< For the first token of a move, while the old engine still speaks.
-constexpr std::chrono::milliseconds moveRetryPeriod = 250ms;
 
 auto toLine(const Json& json) -> std::string
 {
@@ -46,11 +44,6 @@
     return sha256Hex(request.workspace.name + "/" + request.service.name + "/" + request.key).substr(0, 2 * streamIdBytes);
 }
 
-auto toMicroseconds(EventLoop::TimePoint::duration duration) -> std::chrono::microseconds
-{
-    return std::max(std::chrono::duration_cast<std::chrono::microseconds>(duration), std::chrono::microseconds(0));
-}
-
 /** Returns whether \a candidates has a server that is not among \a excluded. */
 auto hasOther(const CandidateList& candidates, const std::set<std::string>& excluded) -> bool
 {
@@ -58,20 +51,6 @@
     return std::any_of(servers.begin(), servers.end(), [&excluded](const BackendServer* server) { return !excluded.contains(server->id); });
 }
 
-/** Returns the policy for moves to another engine; early, so that a failed move can be tried again. */
-auto enginePolicy() -> const StreamMovePolicy&
-{
-    static const SpreadMovePolicy policy({ 0, 500 });
-    return policy;
-}
-
-/** Returns the policy for answers that are handed back because this node leaves; late, so that most finish. */
-auto nodePolicy() -> const StreamMovePolicy&
-{
-    static const SpreadMovePolicy policy({ 500, 1000 });
-    return policy;
-}
-
 } // namespace
 
 ModelRun::ModelRun(const RequestContext& context, SilentServers& silentServers, CallerRequest request, std::shared_ptr<HttpExchange> exchange, EndHandler onEnd)
@@ -96,7 +75,7 @@
 
 auto ModelRun::begin() -> void
 {
-    this->deadlineTimer.start(toMicroseconds(this->request.deadline - EventLoop::now()));
+    this->deadlineTimer.start(timerDelay(this->request.deadline - EventLoop::now()));
     this->exchange->drained.connect([this] { this->callerDrained(); });
     this->startFirst();
     this->planLeave();
@@ -390,70 +369,6 @@
     this->watchSilence();
 }
 
-auto ModelRun::movingStream(const ReclaimNotice& notice) -> MovingStream
-{
-    MovingStream stream;
-    stream.hash = hash64(this->streamId);
-    stream.tokensLeft = this->request.maxTokens - this->nextOffset;
-    stream.tokenGap = this->first ? this->first->pace().tokenGap() : StreamPace({}, 0).tokenGap();
-    stream.deadline = notice.deadline;
-    stream.abandonedMoves = this->abandonedMoves;
-    return stream;
-}
-
-auto ModelRun::planMove() -> void
-{
-    if (this->hasEnded || !this->first || this->second)
-        return;
-    const auto& notices = this->context.blackboard.reclaimNotices.value();
-    const auto notice = notices.find(this->first->backendServer().id);
-    if (notice == notices.end())
-        return;
-    const auto now = EventLoop::now();
-    auto stream = this->movingStream(notice->second);
-    stream.noticed = this->engineNoticed.value_or(now);
-    this->engineNoticed = stream.noticed;
-    const auto decision = enginePolicy().decide(stream, now);
-    if (decision.action != MoveAction::MoveNow)
-        return this->moveTimer.start(toMicroseconds(decision.when - now));
-    this->moveTimer.start(this->startSecond(SecondReason::Reclaim) ? moveStallLimit : moveRetryPeriod);
-}
-
-auto ModelRun::moveTimerFired() -> void
-{
-    if (this->second && this->secondReason == SecondReason::Reclaim && this->first) {
-        const auto& notices = this->context.blackboard.reclaimNotices.value();
-        const auto notice = notices.find(this->first->backendServer().id);
-        if (notice == notices.end() || !enginePolicy().mayAbandon(this->movingStream(notice->second), EventLoop::now()))
-            return;
-        this->context.metrics.count("moves_abandoned_total");
-        ++this->abandonedMoves;
-        this->failedServers.insert(this->second->backendServer().id);
-        this->dropSecond();
-        this->deliverReady();
-        return this->moveTimer.start(moveRetryPeriod);
-    }
-    if (this->second)
-        return this->moveTimer.start(moveRetryPeriod);
-    this->planMove();
-}
-
-auto ModelRun::planLeave() -> void
-{
-    const auto& notices = this->context.blackboard.reclaimNotices.value();
-    const auto notice = notices.find(this->context.settings.id);
-    if (this->hasEnded || notice == notices.end())
-        return;
-    const auto now = EventLoop::now();
-    auto stream = this->movingStream(notice->second);
-    stream.noticed = this->nodeNoticed.value_or(now);
-    this->nodeNoticed = stream.noticed;
-    const auto decision = nodePolicy().decide(stream, now);
-    if (decision.action == MoveAction::MoveNow)
-        return this->handBack();
-    this->leaveTimer.start(toMicroseconds(decision.when - now));
-}
-
 auto ModelRun::finish() -> void
 {
     if (this->request.isStreamed) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,8 +24,7 @@
 
 auto livePeers(const Peers& peers) -> std::size_t
 {
-    const auto isLive = [](const auto& entry) { return entry.second.state == PeerState::Alive || entry.second.state == PeerState::Suspect; };
-    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), isLive));
+    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [](const auto& entry) { return isLive(entry.second.state); }));
 }
 
 } // namespace
--- a/src/traffic/fleetplanner.cpp
+++ b/src/traffic/fleetplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <utility>
 
 using namespace std::chrono_literals;
@@ -123,8 +124,8 @@
         zone.ordered += added;
         total += added;
     }
-    for (auto name = byPrice.rbegin(); name != byPrice.rend(); ++name) {
-        auto& zone = this->zones[*name];
+    for (const auto& name : std::ranges::reverse_view(byPrice)) {
+        auto& zone = this->zones[name];
         const auto kept = std::max<std::int64_t>(0, this->terms.least - zone.expected(now));
         const auto removed = std::clamp<std::int64_t>(total - most, 0, std::max<std::int64_t>(0, zone.ordered - kept));
         zone.ordered -= removed;
--- a/src/traffic/quotalimiter.cpp
+++ b/src/traffic/quotalimiter.cpp
@@ -82,13 +82,6 @@
     return std::min(wait, longestWait);
 }
 
-auto QuotaLimiter::giveBack(const std::string& workspace, double units) -> void
-{
-    const auto found = this->buckets.find(workspace);
-    if (found != this->buckets.end())
-        found->second.level = std::min(found->second.level + units, found->second.capacity);
-}
-
 auto QuotaLimiter::takeDemand() -> std::map<std::string, WorkspaceDemand>
 {
     return std::exchange(this->demand, {});
--- a/src/traffic/quotalimiter.h
+++ b/src/traffic/quotalimiter.h
@@ -50,9 +50,6 @@
      */
     auto request(const TrafficWorkspace& workspace, double units, TimePoint now) -> std::optional<std::chrono::milliseconds>;
 
-    /** Gives back \a units of a request that ran nowhere. */
-    auto giveBack(const std::string& workspace, double units) -> void;
-
     /** Returns what was asked and granted since the last call, by workspace. */
     auto takeDemand() -> std::map<std::string, WorkspaceDemand>;
 
