--- a/src/traffic/fleetplanner.cpp
+++ b/src/traffic/fleetplanner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 #include <utility>
 
 using namespace std::chrono_literals;
@@ -116,7 +115,7 @@
         zone.ordered = std::max(zone.ordered, this->terms.least - zone.expected(now));
         total += zone.ordered;
     }
-    const auto byPrice = this->zonesByPrice();
+    auto byPrice = this->zonesByPrice();
     for (const auto& name : byPrice) {
         auto& zone = this->zones[name];
         const auto room = std::max<std::int64_t>(0, this->terms.most - zone.expected(now) - zone.ordered);
@@ -124,7 +123,8 @@
         zone.ordered += added;
         total += added;
     }
-    for (const auto& name : std::ranges::reverse_view(byPrice)) {
+    std::reverse(byPrice.begin(), byPrice.end());
+    for (const auto& name : byPrice) {
         auto& zone = this->zones[name];
         const auto kept = std::max<std::int64_t>(0, this->terms.least - zone.expected(now));
         const auto removed = std::clamp<std::int64_t>(total - most, 0, std::max<std::int64_t>(0, zone.ordered - kept));
--- a/tests/traffic/test_fleetplanner.cpp
+++ b/tests/traffic/test_fleetplanner.cpp
@@ -156,10 +156,10 @@
         std::map<std::string, std::int64_t> sums;
         for (const auto& target : planner.plan(demandOf(50), slots, none.pointers(), start + step * 500ms))
             sums[target.zone] += target.count;
-        for (const auto& [zone, sum] : sums) {
-            CAPTURE(zone);
-            CHECK(sum >= 1);
-            CHECK(sum <= 8);
+        for (const auto& entry : sums) {
+            CAPTURE(entry.first);
+            CHECK(entry.second >= 1);
+            CHECK(entry.second <= 8);
         }
     }
 }
