Gateway: Asked the leader's account for each use of a quota

Ruled out: parts by demand alone (each node has a few requests of a workspace in a window, so demand says nothing about the next one); owners by workspace on different nodes, which need one view of the members where the lease already gives one leader. Change: QuotaController asks the leader by a datagram (repeated after 25 ms, decided by the node's own part after 75 ms); the leader keeps one account a workspace, opened with what the nodes tell of the last window, and takes off what nodes granted on their own. The number of nodes is asked for again when the store didn't answer.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -18,8 +18,10 @@
 constexpr auto peerKeyKey = "primrosefork/peer-key";
 constexpr auto nodesKey = "primrosefork/nodes";
 constexpr auto settledTime = 3s; ///< For which a number of nodes has to hold before it is written.
+constexpr std::uint32_t firstSequences = 1U << 24U; ///< An answer to a process before does not fit a report of this one.
 constexpr std::size_t secretBytes = 32;
 constexpr std::chrono::milliseconds keyRetry = 500ms;
+constexpr std::chrono::milliseconds countRetry = 300ms;
 constexpr std::chrono::milliseconds reportPeriod = 500ms; ///< A tenth of an accounting window, and several within a quota's.
 constexpr auto nodeMemory = 3s; ///< Since its last report, after which a node has no share any more.
 constexpr auto countMemory = 30s; ///< Since its last report, while a node's counts may still be due.
@@ -37,21 +39,25 @@
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
-    Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    QuotaController& quotas, Metrics& metrics, const EventLog& log, ReportSource reportSource)
     : loop(loop)
     , store(store)
     , settings(settings)
     , board(board)
+    , quotas(quotas)
     , metrics(metrics)
     , log(log)
     , reportSource(std::move(reportSource))
     , share(board.fleetShare.acquireWriter("CoordinationController"))
     , socket(loop, [this](const Address& sender, std::span<const std::uint8_t> datagram) { this->received(sender, datagram); })
     , keyTimer(loop, [this] { this->fetchKey(); })
+    , countTimer(loop, [this] { this->fetchNodeCount(); })
     , reportTimer(loop, [this] { this->report(); })
     , session(hash64(randomHex(8)))
+    , sequence(static_cast<std::uint32_t>(this->session % firstSequences))
     , isAlive(std::make_shared<bool>(true))
 {
+    this->quotas.asked.connect([this](const QuotaQuestion& question) { this->ask(question); });
 }
 
 CoordinationController::~CoordinationController()
@@ -99,7 +105,11 @@
 auto CoordinationController::fetchNodeCount() -> void
 {
     this->store.get(nodesKey, [this, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
-        if (!*alive || error || !entry)
+        if (!*alive)
+            return;
+        if (error)
+            return this->countTimer.start(countRetry);
+        if (!entry)
             return;
         this->nodesRevision = entry->revision;
         this->recordedNodes = std::strtoull(entry->value.c_str(), nullptr, 10);
@@ -141,10 +151,21 @@
         message.sequence = ++this->sequence;
         static_cast<void>(this->takeReport(message));
         this->recordNodeCount(this->liveNodes());
-        return this->takeAnswer(this->answerFor(this->settings.id));
+        this->quotas.lead(this->known, this->recordedNodes);
+        return this->takeAnswer(this->answerFor(this->settings.id, 0));
     }
-    if (leadership.leaderAddress.port != 0)
-        this->send(leadership.leaderAddress, std::move(message));
+    if (leadership.leaderAddress.port == 0)
+        return;
+    this->lastReport = this->sequence + 1;
+    this->lastReportSent = BootClock::now();
+    this->send(leadership.leaderAddress, std::move(message));
+}
+
+auto CoordinationController::ask(const QuotaQuestion& question) -> void
+{
+    FleetMessage message;
+    message.question = question;
+    this->send(this->board.leadership.value().leaderAddress, std::move(message));
 }
 
 auto CoordinationController::send(const Address& recipient, FleetMessage message) -> void
@@ -170,10 +191,16 @@
         return this->metrics.count("peer_refused_datagrams_total");
     if (message->answer)
         return this->takeAnswer(*message->answer);
+    if (message->grant)
+        return this->quotas.takeGrant(*message->grant);
+    FleetMessage answer;
+    if (message->question) {
+        answer.grant = this->quotas.answer(*message->question);
+        return this->send(sender, std::move(answer));
+    }
     if (!this->board.leadership.value().isOwn || !this->takeReport(*message))
         return;
-    FleetMessage answer;
-    answer.answer = this->answerFor(message->sender);
+    answer.answer = this->answerFor(message->sender, message->sequence);
     this->send(sender, std::move(answer));
 }
 
@@ -198,14 +225,17 @@
         std::count_if(this->known.begin(), this->known.end(), [now](const auto& entry) { return now - entry.second.heard < nodeMemory; }));
 }
 
-auto CoordinationController::answerFor(const std::string& nodeId) const -> FleetAnswer
+auto CoordinationController::answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer
 {
     FleetAnswer answer;
     const auto now = EventLoop::now();
     const auto nodes = std::max<std::size_t>(1, this->liveNodes());
     answer.nodes = static_cast<std::uint32_t>(nodes);
+    answer.reportSequence = reportSequence;
     const auto node = this->known.find(nodeId);
     const auto& traffic = this->board.traffic.value();
+    answer.configurationRevision = traffic.revision;
+    answer.configurationAge = std::chrono::ceil<std::chrono::milliseconds>(BootClock::now() - traffic.confirmed);
     if (node == this->known.end() || !traffic.table)
         return answer;
     for (const auto& workspace : traffic.table->configuration().workspaces) {
@@ -224,6 +254,9 @@
 
 auto CoordinationController::takeAnswer(const FleetAnswer& answer) -> void
 {
+    // The leader's read was asked for at least that long before this node's report arrived there.
+    if (answer.reportSequence != 0 && answer.reportSequence == this->lastReport && answer.configurationRevision != 0)
+        this->configurationConfirmed.emit(answer.configurationRevision, this->lastReportSent - answer.configurationAge);
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     for (const auto& entry : answer.shares)
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -6,12 +6,14 @@
 #include "gatewaysettings.h"
 #include "keyvaluestore.h"
 #include "peerkeyring.h"
+#include "quotacontroller.h"
 #include "statesource.h"
 #include "udpsocket.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <sigc++/signal.h>
 #include <optional>
 #include <string>
 #include <system_error>
@@ -40,7 +42,7 @@
 public:
     using ReportSource = std::function<NodeReport()>;
 
-    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, Metrics&, const EventLog&, ReportSource);
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, Metrics&, const EventLog&, ReportSource);
     ~CoordinationController() override;
 
     auto begin() -> std::error_code;
@@ -48,6 +50,9 @@
     /** Returns what is known of the nodes; of use on the leader. */
     [[nodiscard]] auto nodes() const -> const KnownNodes& { return this->known; }
 
+    /** Emitted when the leader read the store at a moment and found this revision of the configuration. */
+    sigc::signal<void, StoreRevision, BootClock::time_point> configurationConfirmed;
+
     [[nodiscard]] auto stateName() const -> std::string override { return "coordination"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
@@ -61,7 +66,8 @@
     auto received(const Address& sender, std::span<const std::uint8_t> datagram) -> void;
     auto takeReport(const FleetMessage&) -> bool;
     auto takeAnswer(const FleetAnswer&) -> void;
-    [[nodiscard]] auto answerFor(const std::string& nodeId) const -> FleetAnswer;
+    auto ask(const QuotaQuestion&) -> void;
+    [[nodiscard]] auto answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer;
     [[nodiscard]] auto liveNodes() const -> std::size_t;
     auto send(const Address&, FleetMessage) -> void;
 
@@ -69,17 +75,21 @@
     KeyValueStore& store;
     const GatewaySettings& settings;
     GatewayBoard& board;
+    QuotaController& quotas;
     Metrics& metrics;
     const EventLog& log;
     ReportSource reportSource;
     SectionWriter<FleetShare> share;
     UdpSocket socket;
     Timer keyTimer;
+    Timer countTimer;
     Timer reportTimer;
     std::optional<PeerKeyring> keyring;
     KnownNodes known;
     std::uint64_t session;
-    std::uint32_t sequence = 0;
+    std::uint32_t sequence;
+    std::uint32_t lastReport = 0; ///< Its sequence, and when it was sent.
+    BootClock::time_point lastReportSent;
     std::size_t recordedNodes = 0; ///< As the store has it.
     StoreRevision nodesRevision = 0;
     std::size_t changedNodes = 0; ///< Another number, and since when it was seen.
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -1,6 +1,7 @@
 #include "fleetmessage.h"
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -12,10 +13,16 @@
 
 // Found by cereal in the namespace of the types.
 
+template <typename Archive>
+static auto serialize(Archive& archive, RecentUse& value) -> void
+{
+    archive(value.inShortSpan, value.inMiddleSpan, value.inWindow);
+}
+
 template <typename Archive>
 static auto serialize(Archive& archive, WorkspaceReport& value) -> void
 {
-    archive(value.workspace, value.askedPerSecond);
+    archive(value.workspace, value.askedPerSecond, value.ownUnits, value.recentUse);
 }
 
 template <typename Archive>
@@ -33,7 +40,7 @@
 template <typename Archive>
 static auto serialize(Archive& archive, NodeReport& value) -> void
 {
-    archive(value.workspaces, value.windows, value.services);
+    archive(value.upTime, value.workspaces, value.windows, value.services);
 }
 
 template <typename Archive>
@@ -45,13 +52,25 @@
 template <typename Archive>
 static auto serialize(Archive& archive, FleetAnswer& value) -> void
 {
-    archive(value.nodes, value.shares);
+    archive(value.nodes, value.reportSequence, value.configurationRevision, value.configurationAge, value.shares);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, QuotaQuestion& value) -> void
+{
+    archive(value.number, value.workspace, value.units);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, QuotaGrant& value) -> void
+{
+    archive(value.number, value.verdict, value.wait);
 }
 
 template <typename Archive>
 static auto serialize(Archive& archive, FleetMessage& value) -> void
 {
-    archive(value.sender, value.session, value.sequence, value.report, value.answer);
+    archive(value.sender, value.session, value.sequence, value.report, value.answer, value.question, value.grant);
 }
 
 auto encodeFleetMessage(const FleetMessage& message) -> std::string
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "quotaledger.h"
 #include "usageledger.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,7 +14,9 @@
 /** What a node tells of one workspace. */
 struct WorkspaceReport {
     std::string workspace;
-    double askedPerSecond = 0; ///< Units of its quota.
+    float askedPerSecond = 0; ///< Units of its quota.
+    double ownUnits = 0; ///< Let through by the node's own decision since it started.
+    RecentUse recentUse; ///< Told to a new leader only.
 };
 
 /** The requests that began in one accounting window, on one node. */
@@ -32,6 +36,7 @@
 
 /** A node's report to the leader. */
 struct NodeReport {
+    std::chrono::milliseconds upTime { 0 }; ///< Of the node's process.
     std::vector<WorkspaceReport> workspaces;
     std::vector<WindowReport> windows;
     std::vector<ServiceReport> services;
@@ -46,16 +51,42 @@
 /** The leader's answer to a report. */
 struct FleetAnswer {
     std::uint32_t nodes = 1;
+    std::uint32_t reportSequence = 0; ///< Of the report that this answers.
+    std::uint64_t configurationRevision = 0; ///< The newest, by the leader's last read of the store; 0 is not known.
+    std::chrono::milliseconds configurationAge { 0 }; ///< Since that read was asked for.
     std::vector<QuotaShare> shares;
 };
 
-/** One datagram between a node and the leader; one of report and answer is set. */
+/** A node's question whether a workspace may use units of its quota. */
+struct QuotaQuestion {
+    std::uint32_t number = 0; ///< Of the node's process.
+    std::string workspace;
+    double units = 0;
+};
+
+/** What the leader says to such a question. */
+enum class QuotaVerdict : std::uint8_t {
+    Granted,
+    Refused,
+    Unknown, ///< This node doesn't keep the account now.
+};
+
+/** The answer to a question. */
+struct QuotaGrant {
+    std::uint32_t number = 0;
+    QuotaVerdict verdict = QuotaVerdict::Unknown;
+    std::chrono::milliseconds wait { 0 }; ///< When refused: until the units are there.
+};
+
+/** One datagram between a node and the leader; one of the optional parts is set. */
 struct FleetMessage {
     std::string sender;
     std::uint64_t session = 0; ///< Of the sender's process.
     std::uint32_t sequence = 0;
     std::optional<NodeReport> report;
     std::optional<FleetAnswer> answer;
+    std::optional<QuotaQuestion> question;
+    std::optional<QuotaGrant> grant;
 };
 
 /** Returns \a message as bytes. */
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -20,12 +20,9 @@
 constexpr std::chrono::milliseconds movedTime = 1s; ///< For the registry to show who is at the address now.
 constexpr std::chrono::milliseconds freshnessMargin = 150ms; ///< For clocks that run apart and a request that waits to be read.
 constexpr std::chrono::milliseconds notReadyRetry = 500ms; ///< Told to callers while the node has no configuration or server.
-constexpr auto shareTime = 2s; ///< For which the leader's word on a share holds.
-constexpr std::size_t assumedNodes = 16; ///< Before the leader has told how many there are; above today's fleets.
 constexpr double connectionPart = 0.8; ///< Of the connections a server accepts that all nodes together open.
 constexpr std::int64_t leastConnections = 4;
 constexpr double loadSmoothing = 0.12; ///< Weight of the newest report; engines are ordered by the mean of some seconds.
-constexpr double demandSmoothing = 0.25; ///< Weight of the newest report, so that a share follows within a few.
 constexpr std::chrono::milliseconds defaultDeadline = 60s; ///< For requests for which neither caller nor route sets one.
 
 auto pathOf(const std::string& target) -> std::string
@@ -44,17 +41,17 @@
 } // namespace
 
 ForwardController::ForwardController(EventLoop& loop, const HeaderDialect& dialect, RunMover& mover, const GatewaySettings& settings, GatewayBoard& board,
-    const WallClock& clock, Metrics& metrics, const EventLog& log)
+    QuotaController& quotas, const WallClock& clock, Metrics& metrics, const EventLog& log)
     : loop(loop)
     , dialect(dialect)
     , settings(settings)
     , board(board)
+    , quotas(quotas)
     , clock(clock)
     , metrics(metrics)
     , log(log)
     , pool(loop, dialect, connectTimeout)
     , policy(hash64(settings.id))
-    , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaExcess, settings.bounds.quotaSlack }, EventLoop::now())
     , usage(settings.bounds.usageWindow)
     , context { loop, this->pool, dialect, *this, mover, this->policy, metrics, log,
         [this](const std::string& workspace, std::chrono::milliseconds ago) {
@@ -62,10 +59,9 @@
         } }
     , waitTimer(loop, [this] { this->advanceWaiting(); })
     , random(static_cast<std::minstd_rand::result_type>(hash64(settings.id + "/split")))
-    , nodeCount(assumedNodes)
+    , nodeCount(board.fleetShare.value().nodes)
     , lastReport(EventLoop::now())
 {
-    this->quotas.setNodeCount(assumedNodes);
     board.backendServers.changed.connect([this](const BackendServers& servers) { this->serversChanged(servers); });
     board.fleetShare.changed.connect([this](const FleetShare& share) { this->shareChanged(share); });
 }
@@ -86,11 +82,24 @@
     request.received = message.received;
     request.fields = this->dialect.readCaller(message.head.headers);
     request.table = this->board.traffic.value().table;
-    if (const auto refusal = this->admit(request, message.head)) {
-        const auto headers = this->refuse(*exchange, request, *refusal);
-        return exchange->respond(refusal->status, headers, "");
-    }
-    this->start(std::move(request), exchange);
+    if (const auto refusal = this->admit(request, message.head))
+        return this->refuse(*exchange, request, *refusal);
+    if (!request.workspace)
+        return this->start(std::move(request), exchange);
+    const auto& workspace = *request.workspace;
+    const auto units = request.quotaUnits;
+    this->quotas.request(workspace, units, [this, exchange, held = std::make_shared<ForwardRequest>(std::move(request))](std::optional<std::chrono::milliseconds> wait) {
+        this->quotaDecided(std::move(*held), exchange, wait);
+    });
+}
+
+auto ForwardController::quotaDecided(ForwardRequest request, const std::shared_ptr<CallerExchange>& exchange, std::optional<std::chrono::milliseconds> wait) -> void
+{
+    if (wait)
+        return this->refuse(*exchange, request, { HttpStatus::tooManyRequests, "over_quota", wait });
+    // The caller may have gone while the leader was asked.
+    if (!exchange->isOver())
+        this->start(std::move(request), exchange);
 }
 
 auto ForwardController::admit(ForwardRequest& request, const MessageHead& head) -> std::optional<Refusal>
@@ -133,12 +142,10 @@
         const auto tokens = request.fields.hasTokenCounts ? request.fields.promptTokens + request.fields.outputTokens : quota.plainTokens;
         request.quotaUnits = static_cast<double>(tokens);
     }
-    if (const auto wait = this->quotas.request(*request.workspace, request.quotaUnits, EventLoop::now()))
-        return Refusal { HttpStatus::tooManyRequests, "over_quota", *wait };
     return std::nullopt;
 }
 
-auto ForwardController::refuse(const CallerExchange& exchange, const ForwardRequest& request, const Refusal& refusal) -> HttpHeaders
+auto ForwardController::refuse(CallerExchange& exchange, const ForwardRequest& request, const Refusal& refusal) -> void
 {
     HttpHeaders headers;
     if (refusal.retryAfter)
@@ -149,7 +156,7 @@
         { { "request", request.fields.requestId }, { "status", std::to_string(refusal.status) }, { "reason", refusal.reason },
             { "target", exchange.request().head.target }, { "workspace", request.workspace ? request.workspace->name : "" },
             { "configuration", request.table ? std::to_string(request.table->configuration().version) : "" }, { "confirmed_ms_ago", std::to_string(age.count()) } });
-    return headers;
+    exchange.respond(refusal.status, headers, "");
 }
 
 auto ForwardController::start(ForwardRequest request, const std::shared_ptr<CallerExchange>& exchange) -> void
@@ -219,10 +226,6 @@
 auto ForwardController::shareChanged(const FleetShare& share) -> void
 {
     this->nodeCount = share.nodes;
-    this->quotas.setNodeCount(share.nodes);
-    const auto until = EventLoop::now() + shareTime;
-    for (const auto& [workspace, part] : share.quotaShares)
-        this->quotas.setShare(workspace, part, until);
     for (auto& [service, budget] : this->budgets)
         budget.setNodeCount(share.nodes);
 }
@@ -285,12 +288,7 @@
     const auto seconds = std::max(0.001, std::chrono::duration<double>(now - this->lastReport).count());
     this->lastReport = now;
     NodeReport report;
-    for (auto& [workspace, rate] : this->askedPerSecond)
-        rate *= 1 - demandSmoothing;
-    for (const auto& [workspace, demand] : this->quotas.takeDemand())
-        this->askedPerSecond[workspace] += demandSmoothing * demand.asked / seconds;
-    for (const auto& [workspace, rate] : this->askedPerSecond)
-        report.workspaces.push_back({ workspace, rate });
+    this->quotas.addTo(report);
     for (const auto& [window, counts] : this->usage.windows())
         report.windows.push_back({ window, counts });
     std::map<std::string, ServiceReport> services;
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -7,7 +7,7 @@
 #include "forwardrun.h"
 #include "gatewayboard.h"
 #include "gatewaysettings.h"
-#include "quotalimiter.h"
+#include "quotacontroller.h"
 #include "runmover.h"
 #include "statesource.h"
 #include "wallclock.h"
@@ -28,7 +28,7 @@
  */
 class ForwardController : public StateSource, private ServerSource {
 public:
-    ForwardController(EventLoop&, const HeaderDialect&, RunMover&, const GatewaySettings&, GatewayBoard&, const WallClock&, Metrics&, const EventLog&);
+    ForwardController(EventLoop&, const HeaderDialect&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, const WallClock&, Metrics&, const EventLog&);
     ~ForwardController() override;
 
     auto handle(const std::shared_ptr<CallerExchange>&) -> void;
@@ -54,7 +54,8 @@
 
     auto admit(ForwardRequest&, const MessageHead&) -> std::optional<Refusal>;
     auto admitWorkspace(ForwardRequest&) -> std::optional<Refusal>;
-    auto refuse(const CallerExchange&, const ForwardRequest&, const Refusal&) -> HttpHeaders;
+    auto refuse(CallerExchange&, const ForwardRequest&, const Refusal&) -> void;
+    auto quotaDecided(ForwardRequest, const std::shared_ptr<CallerExchange>&, std::optional<std::chrono::milliseconds> wait) -> void;
     auto start(ForwardRequest, const std::shared_ptr<CallerExchange>&) -> void;
     auto advanceWaiting() -> void;
     auto moveRuns(const BackendServers&) -> void;
@@ -70,12 +71,12 @@
     const HeaderDialect& dialect;
     const GatewaySettings& settings;
     GatewayBoard& board;
+    QuotaController& quotas;
     const WallClock& clock;
     Metrics& metrics;
     const EventLog& log;
     BackendPool pool;
     CacheAwarePolicy policy;
-    QuotaLimiter quotas;
     UsageLedger usage;
     ForwardContext context;
     std::map<std::string, AttemptBudget> budgets;
@@ -84,7 +85,6 @@
     std::map<std::string, EventLoop::TimePoint> moved; ///< Servers whose address another one answered at, and until when they are passed over.
     std::map<std::string, std::int64_t> readTokens; ///< That engines had to read since the last report, by service.
     std::map<std::string, double> readPerSecond; ///< The same by the second, smoothed.
-    std::map<std::string, double> askedPerSecond; ///< Units of each workspace's quota, smoothed.
     std::map<std::uint64_t, std::unique_ptr<ForwardRun>> runs;
     Timer waitTimer;
     std::minstd_rand random;
--- a/src/gateway/gatewayboard.h
+++ b/src/gateway/gatewayboard.h
@@ -17,6 +17,7 @@
 /** The operators' configuration that is in force. */
 struct TrafficInForce {
     std::shared_ptr<const RouteTable> table; ///< Null before the first one is known.
+    std::uint64_t revision = 0; ///< Of the store, that the configuration was written with.
     BootClock::time_point confirmed; ///< The store said at this moment or later that it is the newest.
 };
 
@@ -29,9 +30,12 @@
     BootClock::time_point validUntil; ///< This node's lease, when it leads.
 };
 
+/** Taken for the number of nodes before the store or the leader has told it, which is within the first second of a node. */
+constexpr std::size_t assumedNodes = 16;
+
 /** What the leader told this node of all nodes together. */
 struct FleetShare {
-    std::size_t nodes = 1;
+    std::size_t nodes = assumedNodes;
     std::map<std::string, double> quotaShares; ///< Part of each workspace's quota, by its name.
 };
 
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -15,6 +15,7 @@
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "metrics.h"
+#include "quotacontroller.h"
 #include "registrycontroller.h"
 #include "runmover.h"
 #include "stopcontroller.h"
@@ -74,6 +75,7 @@
     GatewayBoard shared;
     WallClock clock;
     Timer clockTimer;
+    QuotaController quotas;
     ForwardController forwarding;
     TrafficController traffic;
     RegistryController registry;
--- a/src/gateway/trafficcontroller.cpp
+++ b/src/gateway/trafficcontroller.cpp
@@ -98,7 +98,7 @@
         { { "version", std::to_string(configuration->version) }, { "revision", std::to_string(entry.revision) },
             { "routes", std::to_string(configuration->routes.size()) }, { "workspaces", std::to_string(configuration->workspaces.size()) } });
     this->metrics.setGauge("configuration_version", static_cast<double>(configuration->version));
-    this->traffic.write({ std::make_shared<const RouteTable>(std::move(*configuration)), std::max(asked, before.confirmed) });
+    this->traffic.write({ std::make_shared<const RouteTable>(std::move(*configuration)), entry.revision, std::max(asked, before.confirmed) });
 }
 
 auto TrafficController::confirmed(BootClock::time_point asked) -> void
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -64,6 +64,7 @@
     UsageNotReported = 6102,
     EnginesOrdered = 6201,
     EngineOrderFailed = 6202,
+    QuotaAccountOpened = 6301,
     PeerJoined = 7001,
     PeerSuspected = 7002,
     PeerDied = 7003,
--- a/src/traffic/quotalimiter.h
+++ b/src/traffic/quotalimiter.h
@@ -52,6 +52,9 @@
      */
     auto request(const TrafficWorkspace& workspace, double units, TimePoint now) -> std::optional<std::chrono::milliseconds>;
 
+    /** Counts \a units of \a workspace that callers asked for. */
+    auto noteAsked(const std::string& workspace, double units) -> void { this->demand[workspace].asked += units; }
+
     /** Counts \a units of \a workspace that the leader's account granted. */
     auto noteGranted(const std::string& workspace, double units, TimePoint now) -> void;
 
