Gateway: Took the leader's word that the configuration is the newest

Cause: each node read the configuration every 1.2 s (1.8 s at a bound of 3 s) to know that no change was missed: calls to the store grow with the nodes, and are paid for. Ruled out: reads that may be stale (seconds old, so they prove nothing); fewer reads (a change whose watch was cut would come late). Change: the leader reads at a quarter of the bound and tells the revision and the age of that read with each answer to a report; a node counts that age from when it sent its report, reads at once when the leader has seen a newer revision, and by itself when it hears nothing.

--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -46,6 +46,7 @@
         if (inForce.table)
             this->callers.setLimits(inForce.table->configuration().limits);
     });
+    this->coordination.configurationConfirmed.connect([this](StoreRevision newest, BootClock::time_point moment) { this->traffic.leaderConfirmed(newest, moment); });
     this->lifecycle.stopBegan.connect([this] { this->leadership.leave(); });
     this->lifecycle.stopped.connect([this] {
         this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
--- a/src/gateway/trafficcontroller.cpp
+++ b/src/gateway/trafficcontroller.cpp
@@ -14,18 +14,21 @@
 namespace {
 
 constexpr double confirmPart = 0.6; ///< Of the time in which a change is to be in force; leaves room for one failed read.
-constexpr std::chrono::milliseconds retryPeriod = 200ms; ///< After a read that failed.
+constexpr double leaderPart = 0.25; ///< The same on the leader, so that what it tells is young enough for the others until its next word.
+constexpr std::chrono::milliseconds lookPeriod = 250ms; ///< Between two looks at the age of what is known; a node may come to lead meanwhile.
+constexpr std::chrono::milliseconds retryPeriod = 200ms; ///< After a read, before the next one at the earliest.
 
 } // namespace
 
 TrafficController::TrafficController(EventLoop& loop, KeyValueStore& store, const TrafficDocuments& documents, const GatewayBounds& bounds,
     GatewayBoard& board, Metrics& metrics, const EventLog& log)
     : store(store)
+    , bounds(bounds)
+    , board(board)
     , documents(documents)
     , metrics(metrics)
     , log(log)
     , traffic(board.traffic.acquireWriter("TrafficController"))
-    , confirmPeriod(std::chrono::duration_cast<std::chrono::milliseconds>(confirmPart * std::min(bounds.configuration, bounds.revocation)))
     , watcher(loop, store, log, documents.configurationKey(),
           { [this](const StoreListing& listing) {
                for (const auto& entry : listing.entries)
@@ -47,16 +50,42 @@
 
 auto TrafficController::begin() -> void
 {
-    this->confirm();
+    this->read();
     this->watcher.begin();
 }
 
+auto TrafficController::confirmPeriod() const -> std::chrono::milliseconds
+{
+    const auto part = this->board.leadership.value().isOwn ? leaderPart : confirmPart;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(part * std::min(this->bounds.configuration, this->bounds.revocation));
+}
+
 auto TrafficController::confirm() -> void
 {
+    const auto left = this->traffic.value().confirmed + this->confirmPeriod() - BootClock::now();
+    if (left > 0ms)
+        return this->confirmTimer.start(timerDelay(std::min<BootClock::duration>(left, lookPeriod)));
+    this->read();
+}
+
+auto TrafficController::leaderConfirmed(StoreRevision newest, BootClock::time_point moment) -> void
+{
+    if (newest == this->revision)
+        return this->confirmed(moment);
+    // The watch has not brought what the leader has seen.
+    if (newest > this->revision && newest != this->rejectedRevision)
+        this->read();
+}
+
+auto TrafficController::read() -> void
+{
+    if (std::exchange(this->isReading, true))
+        return;
     const auto asked = BootClock::now();
     this->store.get(this->documents.configurationKey(), [this, asked, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
         if (!*alive)
             return;
+        this->isReading = false;
         if (error || !entry) {
             if (this->failedReads++ == 0)
                 this->log.write(Event::ConfigurationUnconfirmed, { { "error", error ? error.message() : "no configuration" } });
@@ -64,7 +93,7 @@
         }
         this->failedReads = 0;
         this->apply(*entry, asked);
-        this->confirmTimer.start(this->confirmPeriod);
+        this->confirmTimer.start(retryPeriod);
     });
 }
 
--- a/src/gateway/trafficcontroller.h
+++ b/src/gateway/trafficcontroller.h
@@ -17,8 +17,9 @@
  * Keeps the operators' newest configuration in force, and knows how old that
  * knowledge is.
  *
- * A watch brings changes at once. Besides, the document is read again and
- * again: only that shows that no change was missed.
+ * A watch brings changes at once. Besides, the leader reads the document again
+ * and again, which shows that no change was missed, and tells the other nodes;
+ * a node that hears nothing of that reads it by itself.
  */
 class TrafficController : public StateSource {
 public:
@@ -27,26 +28,33 @@
 
     auto begin() -> void;
 
+    /** The leader read the store at \a moment or later, and the document had the revision \a newest. */
+    auto leaderConfirmed(StoreRevision newest, BootClock::time_point moment) -> void;
+
     [[nodiscard]] auto stateName() const -> std::string override { return "traffic"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
 private:
     auto confirm() -> void;
+    auto read() -> void;
+    [[nodiscard]] auto confirmPeriod() const -> std::chrono::milliseconds;
     auto apply(const StoreEntry&, BootClock::time_point asked) -> void;
     auto putInForce(const StoreEntry&, BootClock::time_point asked) -> void;
     auto confirmed(BootClock::time_point asked) -> void;
 
     KeyValueStore& store;
+    const GatewayBounds& bounds;
+    const GatewayBoard& board;
     const TrafficDocuments& documents;
     Metrics& metrics;
     const EventLog& log;
     SectionWriter<TrafficInForce> traffic;
-    std::chrono::milliseconds confirmPeriod;
     StoreWatcher watcher;
     Timer confirmTimer;
     StoreRevision revision = 0; ///< Of the document in force.
     StoreRevision rejectedRevision = 0; ///< Of the last document that could not be read.
     int failedReads = 0; ///< One after the other.
+    bool isReading = false;
     std::shared_ptr<bool> isAlive;
 };
 
--- a/tests/gateway/test_knowledge.cpp
+++ b/tests/gateway/test_knowledge.cpp
@@ -141,4 +141,70 @@
     CHECK(path.runUntil([&] { return path.node->board().backendServers.value().size() == 3; }, 3s));
 }
 
+/** The configuration's controller of a node that does not lead. */
+struct Follower : GatewayFixture {
+    Follower()
+    {
+        this->configure(1);
+        this->platform.holdsWatches = true;
+        this->traffic.begin();
+    }
+
+    [[nodiscard]] auto version() const -> std::uint64_t
+    {
+        const auto& table = this->board.traffic.value().table;
+        return table ? table->configuration().version : 0;
+    }
+
+    GatewaySystems systems = makePlatformSystems(client, settings);
+    GatewayBoard board;
+    Metrics metrics;
+    EventLog log { "error" };
+    TrafficController traffic { loop, *systems.store, *systems.documents, settings.bounds, board, metrics, log };
+};
+
+TEST_CASE("a node that hears of the leader's reads makes none")
+{
+    Follower follower;
+    REQUIRE(follower.runUntil([&] { return follower.version() == 1; }));
+    const auto before = follower.platform.keyReads;
+    BootClock::time_point told;
+    for (int word = 0; word < 10; ++word) {
+        told = BootClock::now() - 500ms;
+        follower.traffic.leaderConfirmed(follower.board.traffic.value().revision, told);
+        follower.runFor(400ms);
+    }
+    CHECK(follower.platform.keyReads == before);
+    CHECK(follower.board.traffic.value().confirmed == told);
+}
+
+TEST_CASE("a node that hears nothing of the leader reads by itself")
+{
+    Follower follower;
+    REQUIRE(follower.runUntil([&] { return follower.version() == 1; }));
+    const auto before = follower.platform.keyReads;
+    follower.runFor(4s);
+    CHECK(follower.platform.keyReads >= before + 2);
+    CHECK(BootClock::now() - follower.board.traffic.value().confirmed < follower.settings.bounds.configuration);
+}
+
+TEST_CASE("a change that the leader has seen is read at once")
+{
+    Follower follower;
+    REQUIRE(follower.runUntil([&] { return follower.version() == 1; }));
+    follower.configure(2);
+    const auto newer = follower.board.traffic.value().revision + 1;
+    follower.traffic.leaderConfirmed(newer, BootClock::now());
+    CHECK(follower.runUntil([&] { return follower.version() == 2; }, 200ms));
+}
+
+TEST_CASE("an older word of the leader confirms nothing")
+{
+    Follower follower;
+    REQUIRE(follower.runUntil([&] { return follower.version() == 1; }));
+    const auto before = follower.board.traffic.value().confirmed;
+    follower.traffic.leaderConfirmed(follower.board.traffic.value().revision - 1, BootClock::now());
+    CHECK(follower.board.traffic.value().confirmed == before);
+}
+
 } // namespace
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -92,6 +92,7 @@
     if (request.path.starts_with("/kv-keep/"))
         return answer(*exchange, HttpStatus::ok, { { "ttl-ms", 3000 } });
     if (request.path == "/kv-key") {
+        ++this->keyReads;
         const auto found = this->items.find(request.queryValue("key").value_or(""));
         if (found == this->items.end() || found->second.isDeleted)
             return answer(*exchange, HttpStatus::notFound, Json::object());
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -42,6 +42,9 @@
     /** The most entries of one page of a listing. */
     std::size_t pageSize = 500;
 
+    /** Reads of single keys so far. */
+    int keyReads = 0;
+
     /** One call for accounting or an order, as it came. */
     struct FleetCall {
         std::string path;
