Traffic: Gave long streams engines of their own

Ruled out: fewer prompts on each engine alone (more engines, which are the largest price). Change: requests whose answer outweighs their prompt go to as many engines as their number fills to half, the first by a hash of their id, so that all nodes choose the same; the leader counts them and tells the number; others avoid these engines. Soft: a cost of 8,000 tokens. Tests: streampartition, cacheawarepolicy.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -115,7 +115,7 @@
         this->recordedNodes = std::strtoull(entry->value.c_str(), nullptr, 10);
         // A node that has just started goes by what the last leader saw, until this one answers.
         if (this->recordedNodes > 0 && this->share.value().quotaShares.empty())
-            this->share.write({ this->recordedNodes, {} });
+            this->share.write({ this->recordedNodes, {}, {} });
     });
 }
 
@@ -152,6 +152,7 @@
         static_cast<void>(this->takeReport(message));
         this->recordNodeCount(this->liveNodes());
         this->quotas.lead(this->known, this->recordedNodes);
+        this->divideEngines();
         return this->takeAnswer(this->answerFor(this->settings.id, 0));
     }
     if (leadership.leaderAddress.port == 0)
@@ -249,9 +250,32 @@
         const auto part = total > 0 ? askedOf(node->second.report, workspace.name) / total : 0;
         answer.shares.push_back({ workspace.name, spare / static_cast<double>(nodes) + (1 - spare) * part });
     }
+    answer.streamEngines = this->streamEngines;
     return answer;
 }
 
+auto CoordinationController::divideEngines() -> void
+{
+    this->streamEngines.clear();
+    const auto& table = this->board.traffic.value().table;
+    if (!table)
+        return;
+    const auto now = EventLoop::now();
+    for (const auto& [name, service] : table->configuration().services) {
+        if (!service.engine)
+            continue;
+        std::int64_t open = 0;
+        for (const auto& [id, node] : this->known) {
+            for (const auto& entry : node.report.services)
+                open += entry.service == name && now - node.heard < nodeMemory ? entry.openStreams : 0;
+        }
+        const auto& servers = this->board.backendServers.value();
+        const auto engines = std::count_if(
+            servers.begin(), servers.end(), [&name = name](const auto& entry) { return entry.second.pool == name && entry.second.state == InstanceState::Live; });
+        this->streamEngines.push_back({ name, this->partitions[name].update(open, service.engine->slots, engines) });
+    }
+}
+
 auto CoordinationController::takeAnswer(const FleetAnswer& answer) -> void
 {
     // The leader's read was asked for at least that long before this node's report arrived there.
@@ -261,6 +285,8 @@
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     for (const auto& entry : answer.shares)
         current.quotaShares[entry.workspace] = entry.share;
+    for (const auto& entry : answer.streamEngines)
+        current.streamEngines[entry.service] = entry.count;
     this->metrics.setGauge("nodes_live", static_cast<double>(current.nodes));
     this->share.write(std::move(current));
 }
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -8,6 +8,7 @@
 #include "peerkeyring.h"
 #include "quotacontroller.h"
 #include "statesource.h"
+#include "streampartition.h"
 #include "udpsocket.h"
 
 #include <functional>
@@ -67,6 +68,7 @@
     auto takeReport(const FleetMessage&) -> bool;
     auto takeAnswer(const FleetAnswer&) -> void;
     auto ask(const QuotaQuestion&) -> void;
+    auto divideEngines() -> void;
     [[nodiscard]] auto answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer;
     [[nodiscard]] auto liveNodes() const -> std::size_t;
     auto send(const Address&, FleetMessage) -> void;
@@ -86,6 +88,8 @@
     Timer reportTimer;
     std::optional<PeerKeyring> keyring;
     KnownNodes known;
+    std::map<std::string, StreamPartition> partitions; ///< On the leader, by service.
+    std::vector<StreamEngines> streamEngines;
     std::uint64_t session;
     std::uint32_t sequence;
     std::uint32_t lastReport = 0; ///< Its sequence, and when it was sent.
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -34,7 +34,7 @@
 template <typename Archive>
 static auto serialize(Archive& archive, ServiceReport& value) -> void
 {
-    archive(value.service, value.readTokensPerSecond, value.engineTokensPerSecond, value.open, value.waiting);
+    archive(value.service, value.readTokensPerSecond, value.engineTokensPerSecond, value.open, value.waiting, value.openStreams);
 }
 
 template <typename Archive>
@@ -49,10 +49,16 @@
     archive(value.workspace, value.share);
 }
 
+template <typename Archive>
+static auto serialize(Archive& archive, StreamEngines& value) -> void
+{
+    archive(value.service, value.count);
+}
+
 template <typename Archive>
 static auto serialize(Archive& archive, FleetAnswer& value) -> void
 {
-    archive(value.nodes, value.reportSequence, value.configurationRevision, value.configurationAge, value.shares);
+    archive(value.nodes, value.reportSequence, value.configurationRevision, value.configurationAge, value.shares, value.streamEngines);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -32,6 +32,7 @@
     double engineTokensPerSecond = 0; ///< That one engine reads, by this node's measure; 0 is not known.
     std::int64_t open = 0; ///< Requests at servers.
     std::int64_t waiting = 0; ///< For a server.
+    std::int64_t openStreams = 0; ///< Long streams among the open requests.
 };
 
 /** A node's report to the leader. */
@@ -48,6 +49,12 @@
     double share = 0;
 };
 
+/** The engines of a service that serve long streams. */
+struct StreamEngines {
+    std::string service;
+    std::int64_t count = 0;
+};
+
 /** The leader's answer to a report. */
 struct FleetAnswer {
     std::uint32_t nodes = 1;
@@ -55,6 +62,7 @@
     std::uint64_t configurationRevision = 0; ///< The newest, by the leader's last read of the store; 0 is not known.
     std::chrono::milliseconds configurationAge { 0 }; ///< Since that read was asked for.
     std::vector<QuotaShare> shares;
+    std::vector<StreamEngines> streamEngines;
 };
 
 /** A node's question whether a workspace may use units of its quota. */
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -210,10 +210,22 @@
         this->policy.forget(entry.first);
         return true;
     });
+    this->divideEngines();
     this->advanceWaiting();
     this->moveRuns(servers);
 }
 
+auto ForwardController::divideEngines() -> void
+{
+    std::set<std::string> chosen;
+    for (const auto& [service, count] : this->streamEngines) {
+        const auto found = this->serversByService.find(service);
+        if (found != this->serversByService.end())
+            chosen.merge(streamEnginesAmong(found->second, count));
+    }
+    this->policy.setStreamEngines(std::move(chosen));
+}
+
 auto ForwardController::moveRuns(const BackendServers& servers) -> void
 {
     for (const auto& [id, run] : this->runs) {
@@ -228,6 +240,10 @@
     this->nodeCount = share.nodes;
     for (auto& [service, budget] : this->budgets)
         budget.setNodeCount(share.nodes);
+    if (this->streamEngines == share.streamEngines)
+        return;
+    this->streamEngines = share.streamEngines;
+    this->divideEngines();
 }
 
 auto ForwardController::budgetOf(const std::string& service) -> AttemptBudget&
@@ -296,12 +312,16 @@
         auto& rate = this->readPerSecond[service];
         rate += loadSmoothing * (static_cast<double>(tokens) / seconds - rate);
         tokens = 0;
-        services[service] = { service, rate, this->policy.readingRate(service), 0, 0 };
+        services[service] = { service, rate, this->policy.readingRate(service), 0, 0, 0 };
     }
     for (const auto& [id, run] : this->runs) {
         auto& entry = services[run->request().service->name];
         entry.service = run->request().service->name;
         ++(run->isWaiting() ? entry.waiting : entry.open);
+        RoutingRequest routing;
+        routing.promptTokens = run->request().fields.promptTokens;
+        routing.expectedTokens = run->request().fields.outputTokens;
+        entry.openStreams += isLongStream(routing) ? 1 : 0;
     }
     for (auto& [service, entry] : services)
         report.services.push_back(std::move(entry));
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -61,6 +61,7 @@
     auto moveRuns(const BackendServers&) -> void;
     auto serversChanged(const BackendServers&) -> void;
     auto shareChanged(const FleetShare&) -> void;
+    auto divideEngines() -> void;
     auto budgetOf(const std::string& service) -> AttemptBudget&;
     auto chooseServer(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> const BackendServer* override;
     auto takeAttempt(const std::string& service, EventLoop::TimePoint now) -> bool override;
@@ -81,6 +82,7 @@
     ForwardContext context;
     std::map<std::string, AttemptBudget> budgets;
     std::map<std::string, std::vector<const BackendServer*>> serversByService; ///< Those that may be given work.
+    std::map<std::string, std::int64_t> streamEngines; ///< Number of those that serve long streams.
     std::map<std::string, std::int64_t> startedAt; ///< Of each server, to notice that one started anew.
     std::map<std::string, EventLoop::TimePoint> moved; ///< Servers whose address another one answered at, and until when they are passed over.
     std::map<std::string, std::int64_t> readTokens; ///< That engines had to read since the last report, by service.
--- a/src/gateway/gatewayboard.h
+++ b/src/gateway/gatewayboard.h
@@ -37,6 +37,7 @@
 struct FleetShare {
     std::size_t nodes = assumedNodes;
     std::map<std::string, double> quotaShares; ///< Part of each workspace's quota, by its name.
+    std::map<std::string, std::int64_t> streamEngines; ///< Number of engines that serve long streams, by service.
 };
 
 /**
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -3,6 +3,7 @@
 #include "hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 using namespace std::chrono_literals;
@@ -15,6 +16,7 @@
 constexpr double tokensPerWaiting = 2'000; ///< Unread tokens of a waiting request of another node; near a mean prompt.
 constexpr double tokensPerPlainRequest = 1'000; ///< One slot of a plain service for the time of one call.
 constexpr double otherZoneTokens = 60; ///< The way to another zone and back, and its price.
+constexpr double foreignTokens = 8'000; ///< For a prompt among long streams or the reverse: some prompts of a mean size.
 constexpr double randomTokens = 40; ///< Keeps nodes with the same view from all choosing alike.
 constexpr auto keepTime = 20s; ///< After which a part that was not read again is taken for evicted.
 constexpr auto observedTime = 2s; ///< After which an observed load counts for nothing.
@@ -70,7 +72,9 @@
 auto CacheAwarePolicy::choose(const RoutingRequest& request, std::span<const BackendServer* const> candidates, TimePoint now) -> const BackendServer*
 {
     const auto sequences = partSequences(request.promptParts);
-    const auto* home = sequences.empty() ? nullptr : homeOf(sharedSequence(sequences), candidates);
+    std::vector<const BackendServer*> native;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(native), [this, &request](const auto* server) { return !this->isForeign(request, *server); });
+    const auto* home = sequences.empty() ? nullptr : homeOf(sharedSequence(sequences), native);
     const BackendServer* best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     for (const auto* server : candidates) {
@@ -88,6 +92,11 @@
     return candidates[this->random() % candidates.size()];
 }
 
+auto CacheAwarePolicy::isForeign(const RoutingRequest& request, const BackendServer& server) const -> bool
+{
+    return server.kind == BackendKind::Engine && !this->streamEngines.empty() && isLongStream(request) != this->streamEngines.contains(server.id);
+}
+
 auto CacheAwarePolicy::costOf(
     const RoutingRequest& request, const BackendServer& server, std::span<const std::uint64_t> sequences, bool isHome, TimePoint now) -> double
 {
@@ -103,6 +112,8 @@
     auto cost = randomTokens * static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
     if (server.zone != request.zone)
         cost += otherZoneTokens;
+    if (this->isForeign(request, server))
+        cost += foreignTokens;
     if (server.kind == BackendKind::Plain) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.slots));
         const auto requests = static_cast<double>(state.running) + others + waiting;
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -2,10 +2,12 @@
 
 #include "routingpolicy.h"
 #include "slowdowndetector.h"
+#include "streampartition.h"
 
 #include <cstdint>
 #include <deque>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +42,9 @@
     /** Returns how many prompt tokens the server that choose() named for \a request has to read. */
     [[nodiscard]] auto expectedReading(const RoutingRequest& request, const BackendServer& server, TimePoint now) const -> std::int64_t;
 
+    /** Sets the engines, by id, that long streams are sent to and other requests avoid. */
+    auto setStreamEngines(std::set<std::string> ids) -> void { this->streamEngines = std::move(ids); }
+
     /** Forgets what the server \a id kept, after it went or started anew. */
     auto forget(const std::string& id) -> void;
 
@@ -65,6 +70,7 @@
     };
 
     [[nodiscard]] auto costOf(const RoutingRequest&, const BackendServer&, std::span<const std::uint64_t> sequences, bool isHome, TimePoint) -> double;
+    [[nodiscard]] auto isForeign(const RoutingRequest&, const BackendServer&) const -> bool;
     [[nodiscard]] auto unreadTokens(const RoutingRequest&, const ServerState&, std::span<const std::uint64_t> sequences, bool isHome, TimePoint) const
         -> std::int64_t;
     auto keep(ServerState&, std::span<const std::uint64_t> sequences, TimePoint) -> void;
@@ -73,6 +79,7 @@
     std::unordered_map<std::string, ServerState> servers;
     std::unordered_map<std::uint64_t, OpenRequest> open;
     std::unordered_map<std::string, std::deque<double>> readingRates; ///< Tokens a second of the last long prompts, by pool.
+    std::set<std::string> streamEngines;
     std::minstd_rand random;
 };
 
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -115,4 +115,34 @@
     CHECK(policy.choose(makeRequest(1, {}), std::vector<const BackendServer*> {}, start) == nullptr);
 }
 
+struct PartitionCase {
+    const char* name;
+    std::int64_t promptTokens;
+    std::int64_t answerTokens;
+    bool isOnStreamEngine;
+};
+
+const PartitionCase partitionCases[] = {
+    { "a long stream", 600, 280, true },
+    { "a long prompt", 9'000, 60, false },
+};
+
+TEST_CASE("long streams and prompts keep to engines of their own")
+{
+    const Pool pool(12, BackendKind::Engine);
+    for (const auto& row : partitionCases) {
+        CAPTURE(row.name);
+        CacheAwarePolicy policy(1);
+        policy.setStreamEngines({ "s3", "s7" });
+        for (std::uint64_t id = 1; id <= 40; ++id) {
+            const std::vector<PromptPart> parts { { id, row.promptTokens } };
+            auto request = makeRequest(id, parts);
+            request.expectedTokens = row.answerTokens;
+            const auto* server = policy.choose(request, pool.pointers, start);
+            REQUIRE(server != nullptr);
+            CHECK((server->id == "s3" || server->id == "s7") == row.isOnStreamEngine);
+        }
+    }
+}
+
 } // namespace
