--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -155,6 +155,9 @@
     this->log.write(Event::RequestRefused,
         { { "request", request.fields.requestId }, { "status", std::to_string(refusal.status) }, { "reason", refusal.reason },
             { "target", exchange.request().head.target }, { "workspace", request.workspace ? request.workspace->name : "" },
+            { "units", std::to_string(static_cast<std::int64_t>(request.quotaUnits)) },
+            { "quota_per_second", request.workspace ? std::to_string(request.workspace->quota.perSecond) : "" },
+            { "retry_ms", std::to_string(refusal.retryAfter.value_or(0ms).count()) },
             { "configuration", request.table ? std::to_string(request.table->configuration().version) : "" }, { "confirmed_ms_ago", std::to_string(age.count()) } });
     exchange.respond(refusal.status, headers, "");
 }
