Streams: Made the slow move of the test longer than it may take

A move reads the prompt and all tokens so far at 50 a second, and is given up after 1 s without a token: with few tokens so far that is near 1 s. Ruled out: a move that should have been given up and wasn't (all streams were whole). Change: the notice of that row comes when each caller has 60 tokens, so that a move takes 1.2 s at least. The check is the same.

--- a/tests/streams/streamtest.cpp
+++ b/tests/streams/streamtest.cpp
@@ -36,7 +36,12 @@
 
 auto haveAllBegun(const Callers& callers) -> bool
 {
-    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->record().received > 0; });
+    return haveAllReceived(callers, 1);
+}
+
+auto haveAllReceived(const Callers& callers, std::int64_t tokens) -> bool
+{
+    return std::all_of(callers.begin(), callers.end(), [tokens](const auto& caller) { return caller->record().received >= tokens; });
 }
 
 auto areAllWhole(const Callers& callers) -> bool
--- a/tests/streams/streamtest.h
+++ b/tests/streams/streamtest.h
@@ -19,6 +19,7 @@
 auto addCaller(Callers&, Testkit::Cluster&, const std::vector<std::size_t>& nodes, std::int64_t tokens, bool dependsOnHistory = false) -> void;
 
 [[nodiscard]] auto haveAllBegun(const Callers&) -> bool;
+[[nodiscard]] auto haveAllReceived(const Callers&, std::int64_t tokens) -> bool;
 [[nodiscard]] auto areAllWhole(const Callers&) -> bool;
 
 /** Returns how many streams run on engine \a engine. */
--- a/tests/streams/test_streams.cpp
+++ b/tests/streams/test_streams.cpp
@@ -147,12 +147,13 @@
     std::string name;
     bool isReclaimed; ///< Or falls silent.
     std::int64_t prefillRate; ///< Tokens a second; a slow one gives a move up and tries again.
+    std::int64_t received; ///< Tokens that each caller has before; more than the rate, a move can't begin within the second that it is given.
 };
 
 const OnePieceCase onePieceCases[] = {
-    { "reclaimed", true, 8000 },
-    { "reclaimed, slow to move", true, 50 },
-    { "silent and speaking again", false, 8000 },
+    { "reclaimed", true, 8000, 1 },
+    { "reclaimed, slow to move", true, 50, 60 },
+    { "silent and speaking again", false, 8000, 1 },
 };
 
 TEST_CASE("an answer stays of one piece with engines that never choose the same tokens")
@@ -170,7 +171,7 @@
         Callers callers;
         for (int index = 0; index < 6; ++index)
             addCaller(callers, cluster, { 0 }, 300, true);
-        REQUIRE(cluster.client().waitUntil([&] { return haveAllBegun(callers); }, 20s));
+        REQUIRE(cluster.client().waitUntil([&] { return haveAllReceived(callers, row.received); }, 20s));
 
         if (row.isReclaimed) {
             notice(cluster, { Cluster::engineId(0) }, 5s);
