Gateway: Led again at once after a restart, and opened quota accounts without waiting

Ruled out: a shorter lease (two leaders in turn could act within the bound that forbids it). Change: a node that finds its own key with its own address, left by the process before, takes it over by its revision; accounts open at once with nothing but what flows in, which is safe whatever was granted before, and get the burst when the nodes have told of their use; a new leader is asked at once. Tests: duties (three rows), quotaledger, quotas.

--- a/src/gateway/leadershipcontroller.cpp
+++ b/src/gateway/leadershipcontroller.cpp
@@ -77,6 +77,12 @@
     }
     if (this->leadership.value().isOwn)
         this->stepDown("another node took the leadership");
+    if (readText(json, "id") == this->settings.id && readText(json, "address") == this->settings.peers.toString()) {
+        // The process before this one led; it has ended, so its lease need not be waited for.
+        this->ownEarlier = entry.revision;
+        return this->scheduleCandidacy();
+    }
+    this->ownEarlier = 0;
     Leadership current;
     current.leaderId = readText(json, "id");
     current.leaderAddress = parseAddress(readText(json, "address")).value_or(Address {});
@@ -89,6 +95,7 @@
 {
     if (this->leadership.value().isOwn)
         this->stepDown("the lease lapsed");
+    this->ownEarlier = 0;
     this->leadership.write({});
     this->scheduleCandidacy();
 }
@@ -120,7 +127,7 @@
 auto LeadershipController::takeKey(LeaseId granted, BootClock::time_point asked) -> void
 {
     this->lease = granted;
-    this->store.compareAndSwap({ leaderKey, 0, this->keyValue(), granted }, [this, asked, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+    this->store.compareAndSwap({ leaderKey, this->ownEarlier, this->keyValue(), granted }, [this, asked, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
         if (!*alive)
             return;
         if (error)
@@ -152,6 +159,7 @@
 {
     if (this->hasLeft)
         return;
+    this->ownEarlier = 0;
     this->log.write(Event::LeadershipTaken, { { "fence", std::to_string(fence) } });
     this->leadership.write({ this->settings.id, this->settings.peers, true, fence, this->leaseEnd(granted) });
     this->renewTimer.start(this->settings.bounds.leadership / renewalsPerLease);
--- a/src/gateway/leadershipcontroller.h
+++ b/src/gateway/leadershipcontroller.h
@@ -58,6 +58,7 @@
     Timer renewTimer;
     std::minstd_rand random;
     std::string incarnation; ///< Tells this process from an earlier one of the same node.
+    StoreRevision ownEarlier = 0; ///< Of the key that the process before this one on the node left; 0 is none.
     LeaseId lease = 0;
     bool isStanding = false;
     bool hasLeft = false;
--- a/src/gateway/quotacontroller.cpp
+++ b/src/gateway/quotacontroller.cpp
@@ -146,19 +146,33 @@
     if (this->fence != current) {
         this->fence = current;
         this->leadingSince = now;
+        this->hasHistory = false;
         this->ledger.clear();
         this->debited.clear();
     }
-    if (now - this->leadingSince < gatherTime)
-        return;
     this->debitOwnGrants(nodes);
-    this->openAccounts(nodes, recordedNodes, now);
+    this->openAccounts(now);
+    if (!this->hasHistory && now - this->leadingSince >= gatherTime) {
+        this->hasHistory = true;
+        this->takeHistory(nodes, recordedNodes, now);
+    }
     const auto heard = std::count_if(nodes.begin(), nodes.end(), [now](const auto& entry) { return now - entry.second.heard < heardTime; });
     const auto all = std::max<std::size_t>(1, nodes.size());
     this->ledger.setAskingPart(static_cast<double>(heard) / static_cast<double>(all), now);
 }
 
-auto QuotaController::openAccounts(const std::map<std::string, KnownNode>& nodes, std::size_t recordedNodes, EventLoop::TimePoint now) -> void
+auto QuotaController::openAccounts(EventLoop::TimePoint now) -> void
+{
+    const auto& table = this->board.traffic.value().table;
+    if (!table)
+        return;
+    for (const auto& workspace : table->configuration().workspaces) {
+        if (workspace.quota.perSecond > 0 && !this->ledger.isOpen(workspace.name))
+            this->ledger.open(workspace, now);
+    }
+}
+
+auto QuotaController::takeHistory(const std::map<std::string, KnownNode>& nodes, std::size_t recordedNodes, EventLoop::TimePoint now) -> void
 {
     const auto& table = this->board.traffic.value().table;
     if (!table)
@@ -167,7 +181,7 @@
     const auto telling = std::count_if(nodes.begin(), nodes.end(), [this](const auto& entry) { return entry.second.report.upTime >= this->settings.bounds.quotaWindow; });
     const auto all = std::max({ nodes.size(), recordedNodes, std::size_t { 1 } });
     for (const auto& workspace : table->configuration().workspaces) {
-        if (workspace.quota.perSecond <= 0 || this->ledger.isOpen(workspace.name))
+        if (workspace.quota.perSecond <= 0)
             continue;
         RecentUse use;
         for (const auto& [id, node] : nodes) {
@@ -176,7 +190,8 @@
                     use.add(entry.recentUse);
             }
         }
-        this->ledger.open(workspace, use, static_cast<double>(telling) / static_cast<double>(all), now);
+        if (telling > 0)
+            this->ledger.takeHistory(workspace, use, static_cast<double>(telling) / static_cast<double>(all), now);
         this->log.write(Event::QuotaAccountOpened,
             { { "workspace", workspace.name }, { "in_window", std::to_string(static_cast<std::int64_t>(use.inWindow)) }, { "telling", std::to_string(telling) },
                 { "nodes", std::to_string(all) }, { "fence", std::to_string(this->fence) } });
@@ -235,6 +250,8 @@
         return;
     this->leaderId = leadership.leaderId;
     this->leaderSince = EventLoop::now();
+    // A new leader is asked at once.
+    this->leaderHeard = this->leaderSince;
 }
 
 auto QuotaController::dumpState() const -> nlohmann::json
--- a/src/gateway/quotacontroller.h
+++ b/src/gateway/quotacontroller.h
@@ -74,7 +74,8 @@
     auto checkPending() -> void;
     auto shareChanged(const FleetShare&) -> void;
     auto leadershipChanged(const Leadership&) -> void;
-    auto openAccounts(const std::map<std::string, KnownNode>&, std::size_t recordedNodes, EventLoop::TimePoint now) -> void;
+    auto openAccounts(EventLoop::TimePoint now) -> void;
+    auto takeHistory(const std::map<std::string, KnownNode>&, std::size_t recordedNodes, EventLoop::TimePoint now) -> void;
     auto debitOwnGrants(const std::map<std::string, KnownNode>&) -> void;
     [[nodiscard]] auto workspaceOf(const std::string& name) const -> const TrafficWorkspace*;
     [[nodiscard]] auto isLeading() const -> bool;
@@ -96,6 +97,7 @@
     EventLoop::TimePoint leaderHeard; ///< An answer to a report or a question.
     std::uint64_t fence = 0; ///< Under which the accounts were opened.
     EventLoop::TimePoint leadingSince;
+    bool hasHistory = false; ///< The accounts go by what the nodes let through before.
     std::string leaderId;
 };
 
--- a/src/traffic/quotaledger.cpp
+++ b/src/traffic/quotaledger.cpp
@@ -26,19 +26,22 @@
 {
 }
 
-auto QuotaLedger::open(const TrafficWorkspace& workspace, const RecentUse& use, double knownPart, TimePoint now) -> void
+auto QuotaLedger::open(const TrafficWorkspace& workspace, TimePoint now) -> void
+{
+    this->accounts[workspace.name] = { 0, static_cast<double>(workspace.quota.perSecond), now };
+}
+
+auto QuotaLedger::takeHistory(const TrafficWorkspace& workspace, const RecentUse& use, double knownPart, TimePoint now) -> void
 {
     const auto perSecond = static_cast<double>(workspace.quota.perSecond);
     const auto capacity = ledgerPart * burstWithin(this->terms, workspace.quota);
-    Account account { 0, perSecond, now };
-    if (knownPart > 0) {
-        // The lowest that the bucket can have come to with that use, wherever in each span it was.
-        const auto shortSpan = capacity - use.inShortSpan / knownPart;
-        const auto middleSpan = capacity + perSecond * Seconds(RecentUse::shortSpan).count() - use.inMiddleSpan / knownPart;
-        const auto window = capacity + perSecond * Seconds(RecentUse::middleSpan).count() - use.inWindow / knownPart;
-        account.level = std::min({ capacity, shortSpan, middleSpan, window });
-    }
-    this->accounts[workspace.name] = account;
+    auto& account = this->accounts[workspace.name];
+    this->fill(account, now);
+    // The lowest that the bucket can have come to with that use, wherever in each span it was.
+    const auto shortSpan = capacity - use.inShortSpan / knownPart;
+    const auto middleSpan = capacity + perSecond * Seconds(RecentUse::shortSpan).count() - use.inMiddleSpan / knownPart;
+    const auto window = capacity + perSecond * Seconds(RecentUse::middleSpan).count() - use.inWindow / knownPart;
+    account.level = std::max(account.level, std::min({ capacity, shortSpan, middleSpan, window }));
 }
 
 auto QuotaLedger::setAskingPart(double part, TimePoint now) -> void
--- a/src/traffic/quotaledger.h
+++ b/src/traffic/quotaledger.h
@@ -40,11 +40,15 @@
 
     [[nodiscard]] auto isOpen(const std::string& workspace) const -> bool { return this->accounts.contains(workspace); }
 
+    /** Opens the account of \a workspace with nothing in it but what flows in, whatever was granted before. */
+    auto open(const TrafficWorkspace& workspace, TimePoint now) -> void;
+
     /**
-     * Opens the account of \a workspace. \a use is what nodes let through lately, by the word
-     * of \a knownPart of them; the others are taken to have let through as much.
+     * Fills the account of \a workspace, which is open, by what nodes let through up to
+     * now. \a use is that by the word of \a knownPart of them; the others are taken to
+     * have let through as much.
      */
-    auto open(const TrafficWorkspace& workspace, const RecentUse& use, double knownPart, TimePoint now) -> void;
+    auto takeHistory(const TrafficWorkspace& workspace, const RecentUse& use, double knownPart, TimePoint now) -> void;
 
     /** Sets the part of the nodes that ask here; the others grant their parts by themselves. */
     auto setAskingPart(double part, TimePoint now) -> void;
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -61,6 +61,32 @@
     CHECK(path.runUntil([&] { return path.isLeading(); }, 2s));
 }
 
+struct EarlierCase {
+    const char* name;
+    const char* key;
+    bool isTaken;
+};
+
+const EarlierCase earlierCases[] = {
+    { "of this node's process before", R"({"id":"node-1","address":"PEERS","incarnation":"x"})", true },
+    { "of a node of the same name at another address", R"({"id":"node-1","address":"127.0.0.9:18399","incarnation":"x"})", false },
+    { "of another node", R"({"id":"node-2","address":"PEERS","incarnation":"x"})", false },
+};
+
+TEST_CASE("a node that starts again does not wait for the lease of its process before")
+{
+    for (const auto& row : earlierCases) {
+        CAPTURE(row.name);
+        Path path;
+        std::string key = row.key;
+        if (const auto place = key.find("PEERS"); place != std::string::npos)
+            key.replace(place, 5, path.settings.peers.toString());
+        path.platform.put("primrosefork/leader", key);
+        REQUIRE(path.start());
+        CHECK(path.runUntil([&] { return path.isLeading(); }, 1s) == row.isTaken);
+    }
+}
+
 TEST_CASE("a take whose answer was lost is settled by what the store holds")
 {
     Path path;
--- a/tests/gateway/test_quotas.cpp
+++ b/tests/gateway/test_quotas.cpp
@@ -184,12 +184,42 @@
     CHECK(pair.leader.quotas.answer({ 4, "salon", smallRequest }).verdict == QuotaVerdict::Unknown);
 }
 
-TEST_CASE("a leader that takes over begins with what the nodes let through")
+TEST_CASE("a new leader grants what flows in before the nodes told it of the use")
 {
     Pair pair;
-    pair.nodes["node"].report.workspaces.push_back({ "salon", 0, 0, { 50'000, 150'000, 300'000 } });
-    pair.beginLeading();
+    pair.leader.leadership.write({ "leader", { "127.0.0.1", 18'399 }, true, 7, BootClock::now() + 1min });
+    pair.nodes["node"].heard = EventLoop::now();
+    pair.leader.quotas.lead(pair.nodes, 1);
     CHECK(pair.ask(largeRequest) == false);
+    pair.runFor(400ms);
+    CHECK(pair.ask(largeRequest) == true);
+}
+
+struct HistoryCase {
+    const char* name;
+    RecentUse use;
+    int least; ///< Granted of ten requests.
+    int most;
+};
+
+const HistoryCase historyCases[] = {
+    { "nothing was used", {}, 10, 10 },
+    { "the burst was used: what flowed in since the leader began", { 50'000, 150'000, 300'000 }, 3, 5 },
+};
+
+TEST_CASE("a leader that takes over begins with what the nodes let through")
+{
+    for (const auto& row : historyCases) {
+        CAPTURE(row.name);
+        Pair pair;
+        pair.nodes["node"].report.workspaces.push_back({ "salon", 0, 0, row.use });
+        pair.beginLeading();
+        int granted = 0;
+        for (int request = 0; request < 10; ++request)
+            granted += pair.ask(largeRequest) == true ? 1 : 0;
+        CHECK(granted >= row.least);
+        CHECK(granted <= row.most);
+    }
 }
 
 TEST_CASE("what nodes grant on their own is taken off the account once")
--- a/tests/traffic/test_quotaledger.cpp
+++ b/tests/traffic/test_quotaledger.cpp
@@ -80,7 +80,8 @@
         CAPTURE(row.name);
         QuotaLedger ledger(terms);
         const auto workspace = makeWorkspace(row.perSecond, row.perSecond);
-        ledger.open(workspace, {}, 1, start);
+        ledger.open(workspace, start);
+        ledger.takeHistory(workspace, {}, 1, start);
         const auto rate = static_cast<double>(row.perSecond);
         const auto most = mostInWindow(grantsFrom(ledger, workspace, row.units, start, 40s));
         CHECK(most <= (rate * 8 + rate) * 1.1 + 110'000);
@@ -94,11 +95,13 @@
         CAPTURE(row.name);
         const auto workspace = makeWorkspace(row.perSecond, row.perSecond);
         QuotaLedger before(terms);
-        before.open(workspace, {}, 1, start);
+        before.open(workspace, start);
+        before.takeHistory(workspace, {}, 1, start);
         auto grants = grantsFrom(before, workspace, row.units, start, 9s);
 
         QuotaLedger after(terms);
-        after.open(workspace, useOf(grants), 1, start + 9s);
+        after.open(workspace, start + 9s);
+        after.takeHistory(workspace, useOf(grants), 1, start + 9s);
         const auto later = grantsFrom(after, workspace, row.units, start + 9s, 20s);
         grants.insert(grants.end(), later.begin(), later.end());
         const auto rate = static_cast<double>(row.perSecond);
@@ -106,11 +109,33 @@
     }
 }
 
+TEST_CASE("a leader that takes over grants what flows in before it knows of the use")
+{
+    for (const auto& row : windowCases) {
+        CAPTURE(row.name);
+        const auto workspace = makeWorkspace(row.perSecond, row.perSecond);
+        QuotaLedger before(terms);
+        before.open(workspace, start);
+        before.takeHistory(workspace, {}, 1, start);
+        auto grants = grantsFrom(before, workspace, row.units, start, 9s);
+
+        QuotaLedger after(terms);
+        after.open(workspace, start + 9s);
+        const auto first = grantsFrom(after, workspace, row.units, start + 9s, 1'200ms);
+        grants.insert(grants.end(), first.begin(), first.end());
+        after.takeHistory(workspace, useOf(grants), 1, start + 10'200ms);
+        const auto later = grantsFrom(after, workspace, row.units, start + 10'200ms, 20s);
+        grants.insert(grants.end(), later.begin(), later.end());
+        const auto rate = static_cast<double>(row.perSecond);
+        CHECK(mostInWindow(grants) <= (rate * 8 + rate) * 1.1 + 110'000);
+    }
+}
+
 TEST_CASE("a leader that knows nothing of the use begins with an empty account")
 {
     QuotaLedger ledger(terms);
     const auto workspace = makeWorkspace(29'000, 29'000);
-    ledger.open(workspace, {}, 0, start);
+    ledger.open(workspace, start);
     CHECK(ledger.request(workspace, 9'000, start).has_value());
     CHECK_FALSE(ledger.request(workspace, 9'000, start + 500ms).has_value());
 }
@@ -120,9 +145,11 @@
     QuotaLedger ledger(terms);
     const auto workspace = makeWorkspace(29'000, 29'000);
     const RecentUse use { 40'000, 60'000, 60'000 };
-    ledger.open(workspace, use, 1, start);
+    ledger.open(workspace, start);
+    ledger.takeHistory(workspace, use, 1, start);
     CHECK_FALSE(ledger.request(workspace, 50'000, start).has_value());
-    ledger.open(workspace, use, 0.5, start);
+    ledger.open(workspace, start);
+    ledger.takeHistory(workspace, use, 0.5, start);
     CHECK(ledger.request(workspace, 50'000, start).has_value());
 }
 
@@ -130,7 +157,8 @@
 {
     QuotaLedger ledger(terms);
     const auto workspace = makeWorkspace(29'000, 29'000);
-    ledger.open(workspace, {}, 1, start);
+    ledger.open(workspace, start);
+    ledger.takeHistory(workspace, {}, 1, start);
     ledger.debit("salon", 200'000);
     CHECK(ledger.request(workspace, 9'000, start + 1s).has_value());
 }
@@ -139,7 +167,7 @@
 {
     QuotaLedger ledger(terms);
     const auto workspace = makeWorkspace(10'000, 10'000);
-    ledger.open(workspace, {}, 0, start);
+    ledger.open(workspace, start);
     ledger.setAskingPart(0.25, start);
     double sum = 0;
     for (const auto grant : grantsFrom(ledger, workspace, 500, start, 10s))
@@ -151,7 +179,7 @@
 {
     QuotaLedger ledger(terms);
     const auto workspace = makeWorkspace(1'000, 1'000);
-    ledger.open(workspace, {}, 0, start);
+    ledger.open(workspace, start);
     const auto wait = ledger.request(workspace, 4'000, start);
     REQUIRE(wait.has_value());
     CHECK_FALSE(ledger.request(workspace, 4'000, start + *wait).has_value());
