Gateway: Gave up watches that nothing vouches for

Ruled out: the pause after changes (375 ms of the bound of 3 s); short watches on all nodes (four calls a second from each more than now). Change: the leader tells the revision of the newest change of the registry that it has seen; a node that is behind lists again, one that is not knows that it missed nothing. A watch that for half the drain bound (half a lease for the leader's key) has neither an answer nor that word is made anew, and waits shorter.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -235,6 +235,7 @@
     answer.reportSequence = reportSequence;
     const auto node = this->known.find(nodeId);
     const auto& traffic = this->board.traffic.value();
+    answer.registryRevision = this->board.registryRevision.value();
     answer.configurationRevision = traffic.revision;
     answer.configurationAge = std::chrono::ceil<std::chrono::milliseconds>(BootClock::now() - traffic.confirmed);
     if (node == this->known.end() || !traffic.table)
@@ -281,6 +282,8 @@
     // The leader's read was asked for at least that long before this node's report arrived there.
     if (answer.reportSequence != 0 && answer.reportSequence == this->lastReport && answer.configurationRevision != 0)
         this->configurationConfirmed.emit(answer.configurationRevision, this->lastReportSent - answer.configurationAge);
+    if (answer.reportSequence != 0)
+        this->leaderAnswered.emit(answer.registryRevision);
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     for (const auto& entry : answer.shares)
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -54,6 +54,9 @@
     /** Emitted when the leader read the store at a moment and found this revision of the configuration. */
     sigc::signal<void, StoreRevision, BootClock::time_point> configurationConfirmed;
 
+    /** Emitted when the leader answered, with the revision of the newest change of the registry that it has seen. */
+    sigc::signal<void, StoreRevision> leaderAnswered;
+
     [[nodiscard]] auto stateName() const -> std::string override { return "coordination"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -58,7 +58,7 @@
 template <typename Archive>
 static auto serialize(Archive& archive, FleetAnswer& value) -> void
 {
-    archive(value.nodes, value.reportSequence, value.configurationRevision, value.configurationAge, value.shares, value.streamEngines);
+    archive(value.nodes, value.reportSequence, value.configurationRevision, value.configurationAge, value.registryRevision, value.shares, value.streamEngines);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -61,6 +61,7 @@
     std::uint32_t reportSequence = 0; ///< Of the report that this answers.
     std::uint64_t configurationRevision = 0; ///< The newest, by the leader's last read of the store; 0 is not known.
     std::chrono::milliseconds configurationAge { 0 }; ///< Since that read was asked for.
+    std::uint64_t registryRevision = 0; ///< Of the newest change that the leader has seen.
     std::vector<QuotaShare> shares;
     std::vector<StreamEngines> streamEngines;
 };
--- a/src/gateway/gatewayboard.h
+++ b/src/gateway/gatewayboard.h
@@ -48,6 +48,7 @@
     Section<Lifecycle> lifecycle { "lifecycle" };
     Section<TrafficInForce> traffic { "traffic" };
     Section<BackendServers> backendServers { "backendServers" };
+    Section<std::uint64_t> registryRevision { "registryRevision" }; ///< Of the newest change of the registry that was seen.
     Section<Leadership> leadership { "leadership" };
     Section<FleetShare> fleetShare { "fleetShare" };
 };
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -47,6 +47,10 @@
             this->callers.setLimits(inForce.table->configuration().limits);
     });
     this->coordination.configurationConfirmed.connect([this](StoreRevision newest, BootClock::time_point moment) { this->traffic.leaderConfirmed(newest, moment); });
+    this->coordination.leaderAnswered.connect([this](StoreRevision newest) {
+        this->registry.leaderSaw(newest);
+        this->leadership.leaderAnswered();
+    });
     this->lifecycle.stopBegan.connect([this] { this->leadership.leave(); });
     this->lifecycle.stopped.connect([this] {
         this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
--- a/src/gateway/leadershipcontroller.cpp
+++ b/src/gateway/leadershipcontroller.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto leaderKey = "primrosefork/leader";
+constexpr int proofDivisor = 2; ///< Part of the lease in which a leader that is heard nothing of is looked for in the store.
 constexpr int renewalsPerLease = 4; ///< Three may fail before the lease lapses.
 constexpr double safePart = 0.8; ///< Of the lease in which the leader acts; the rest covers clocks that run apart and calls under way.
 constexpr std::chrono::milliseconds longestStagger = 400ms; ///< Keeps nodes from standing all at once.
@@ -34,7 +35,8 @@
     , leadership(board.leadership.acquireWriter("LeadershipController"))
     , watcher(loop, store, log, leaderKey,
           { [this](const StoreListing& listing) { listing.entries.empty() ? this->keyGone() : this->keyShown(listing.entries.back()); },
-              [this](const StoreListing& listing) { listing.entries.back().isDeleted ? this->keyGone() : this->keyShown(listing.entries.back()); } })
+              [this](const StoreListing& listing) { listing.entries.back().isDeleted ? this->keyGone() : this->keyShown(listing.entries.back()); } },
+          { 0ms, settings.bounds.leadership / proofDivisor })
     , candidacyTimer(loop, [this] { this->stand(); })
     , renewTimer(loop, [this] { this->renew(); })
     , random(static_cast<std::minstd_rand::result_type>(hash64(settings.id + randomHex(8))))
@@ -182,6 +184,7 @@
         auto current = this->leadership.value();
         current.validUntil = this->leaseEnd(asked);
         this->leadership.write(std::move(current));
+        this->watcher.proved();
     });
     this->renewTimer.start(this->settings.bounds.leadership / renewalsPerLease);
 }
--- a/src/gateway/leadershipcontroller.h
+++ b/src/gateway/leadershipcontroller.h
@@ -27,6 +27,9 @@
 
     auto begin() -> void;
 
+    /** The leader answered this node. */
+    auto leaderAnswered() -> void { this->watcher.proved(); }
+
     /** Gives the leadership up, so that another node can take it at once. */
     auto leave() -> void;
 
--- a/src/gateway/registrycontroller.cpp
+++ b/src/gateway/registrycontroller.cpp
@@ -15,6 +15,7 @@
 constexpr double lapsePart = 0.85; ///< Of the time after which a server that left must get nothing more.
 constexpr auto returnTime = 4s; ///< After the store came back, in which registrations may still lapse and be renewed.
 constexpr int pauseDivisor = 8; ///< Part of the time after which a server that left must get nothing more, for which changes are gathered.
+constexpr int proofDivisor = 2; ///< Part of the same time in which it is to be shown that no change was missed.
 constexpr auto lapseCheck = 100ms;
 
 } // namespace
@@ -24,11 +25,12 @@
     : documents(documents)
     , log(log)
     , servers(board.backendServers.acquireWriter("RegistryController"))
+    , revision(board.registryRevision.acquireWriter("RegistryController"))
     , lapseTime(std::chrono::duration_cast<std::chrono::milliseconds>(lapsePart * bounds.drain))
     , lapseTimer(loop, [this] { this->endLapses(); })
     , watcher(loop, store, log, documents.backendPrefix(),
           { [this](const StoreListing& listing) { this->listed(listing); }, [this](const StoreListing& listing) { this->changed(listing); } },
-          bounds.drain / pauseDivisor)
+          { bounds.drain / pauseDivisor, bounds.drain / proofDivisor })
 {
 }
 
@@ -116,6 +118,7 @@
 
 auto RegistryController::publish(BackendServers next) -> void
 {
+    this->revision.write(this->watcher.newest());
     const auto& before = this->servers.value();
     if (next == before)
         return;
--- a/src/gateway/registrycontroller.h
+++ b/src/gateway/registrycontroller.h
@@ -22,6 +22,9 @@
 
     auto begin() -> void { this->watcher.begin(); }
 
+    /** The leader has seen the changes up to \a newest. */
+    auto leaderSaw(StoreRevision newest) -> void { this->watcher.seenElsewhere(newest); }
+
     [[nodiscard]] auto stateName() const -> std::string override { return "backendServers"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
@@ -38,6 +41,7 @@
     const TrafficDocuments& documents;
     const EventLog& log;
     SectionWriter<BackendServers> servers;
+    SectionWriter<std::uint64_t> revision;
     std::chrono::milliseconds lapseTime; ///< That a registration which lapsed with the store away is given to come back.
     std::map<std::string, BootClock::time_point> lapsed; ///< Registrations that may come back, and until when they are waited for.
     Timer lapseTimer;
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -16,6 +16,10 @@
 /**
  * Follows everything below one prefix of the store: lists it, watches it from
  * there, and lists it again when changes may have been missed.
+ *
+ * A watch may hang for good while the store answers other calls. Where a proof
+ * time is set, a watch is given up when for that time neither an answer nor
+ * another node showed that nothing was missed.
  */
 class StoreWatcher {
 public:
@@ -25,14 +29,28 @@
         std::function<void(const StoreListing&)> changed; ///< What was written or deleted since.
     };
 
-    /** Waits for \a pause after changes before the next watch, so that changes in quick succession come with one call. */
-    StoreWatcher(EventLoop&, KeyValueStore&, const EventLog&, std::string prefix, Handlers, std::chrono::milliseconds pause = std::chrono::milliseconds(0));
+    /** How often the store is asked. */
+    struct Pace {
+        std::chrono::milliseconds pause { 0 }; ///< After changes before the next watch, so that changes in quick succession come with one call.
+        std::chrono::milliseconds proofTime { 0 }; ///< Without a proof, after which a watch is given up; 0 is never.
+    };
+
+    StoreWatcher(EventLoop&, KeyValueStore&, const EventLog&, std::string prefix, Handlers, Pace);
     ~StoreWatcher();
     StoreWatcher(const StoreWatcher&) = delete;
     auto operator=(const StoreWatcher&) -> StoreWatcher& = delete;
 
     auto begin() -> void;
 
+    /** Returns the revision of the newest change that may have been seen. */
+    [[nodiscard]] auto newest() const -> StoreRevision { return this->newestSeen; }
+
+    /** Another node that asks the store itself has seen the changes up to \a newest. */
+    auto seenElsewhere(StoreRevision newest) -> void;
+
+    /** Something else showed that no change can have been missed. */
+    auto proved() -> void;
+
     /** Returns whether the last call failed. */
     [[nodiscard]] auto isFailing() const -> bool { return this->failures > 0; }
 
@@ -42,6 +60,7 @@
 private:
     auto list() -> void;
     auto watch() -> void;
+    auto lookForProof() -> void;
     auto succeeded() -> void;
     auto failed(std::error_code) -> void;
 
@@ -50,9 +69,16 @@
     const EventLog& log;
     std::string prefix;
     Handlers handlers;
-    std::chrono::milliseconds pause;
+    Pace pace;
     Timer retryTimer;
+    Timer proofTimer;
+    Timer behindTimer;
     StoreRevision revision = 0; ///< Newest change that was seen; 0 when everything is to be listed.
+    StoreRevision newestSeen = 0;
+    StoreRevision newestElsewhere = 0;
+    std::uint64_t call = 0; ///< Of the list or watch that is waited for; answers to others are passed over.
+    BootClock::time_point proof; ///< When it was last shown that no change was missed.
+    BootClock::time_point provedElsewhere;
     int failures = 0; ///< One after the other.
     BootClock::time_point recoveredAt;
     std::shared_ptr<bool> isAlive;
--- a/src/gateway/trafficcontroller.cpp
+++ b/src/gateway/trafficcontroller.cpp
@@ -37,7 +37,8 @@
               [this](const StoreListing& listing) {
                   for (const auto& entry : listing.entries)
                       this->apply(entry, BootClock::time_point {});
-              } })
+              } },
+          {})
     , confirmTimer(loop, [this] { this->confirm(); })
     , isAlive(std::make_shared<bool>(true))
 {
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -26,6 +26,7 @@
     EventDescription { Event::StoreUnavailable, Severity::Warning, "storeUnavailable" },
     EventDescription { Event::StoreRecovered, Severity::Info, "storeRecovered" },
     EventDescription { Event::InstanceListUnavailable, Severity::Warning, "instanceListUnavailable" },
+    EventDescription { Event::WatchGivenUp, Severity::Info, "watchGivenUp" },
     EventDescription { Event::BackendAdded, Severity::Info, "backendAdded" },
     EventDescription { Event::BackendLeaving, Severity::Info, "backendLeaving" },
     EventDescription { Event::BackendRemoved, Severity::Info, "backendRemoved" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -36,6 +36,7 @@
     StoreUnavailable = 3001,
     StoreRecovered = 3002,
     InstanceListUnavailable = 3003,
+    WatchGivenUp = 3004,
     BackendAdded = 3101,
     BackendLeaving = 3102,
     BackendRemoved = 3103,
--- a/tests/gateway/test_knowledge.cpp
+++ b/tests/gateway/test_knowledge.cpp
@@ -141,6 +141,43 @@
     CHECK(path.runUntil([&] { return path.node->board().backendServers.value().size() == 3; }, 3s));
 }
 
+TEST_CASE("a server that leaves gets nothing more although its node's watch hangs")
+{
+    Path path;
+    REQUIRE(path.start());
+    path.runFor(500ms);
+    // Watches that wait now are never answered; later ones are.
+    path.platform.forgetsWatches = true;
+    path.registerServer("i-1", "app", serverPort, "draining");
+    path.platform.forgetsWatches = false;
+    const auto change = EventLoop::now();
+    const auto isLeaving = [&] { return path.node->board().backendServers.value().at("i-1").state == InstanceState::Leaving; };
+    CHECK(path.runUntil(isLeaving, 3s));
+    CHECK(EventLoop::now() - change < path.settings.bounds.drain);
+}
+
+TEST_CASE("a node is told that it has missed a change of the registry")
+{
+    Path path;
+    path.platform.holdsWatches = true;
+    REQUIRE(path.start());
+    GatewayBoard board;
+    EventLog log { "error" };
+    auto systems = makePlatformSystems(path.client, path.settings);
+    auto bounds = path.settings.bounds;
+    bounds.drain = 16s;
+    RegistryController registry(path.loop, *systems.store, *systems.documents, bounds, board, log);
+    registry.begin();
+    REQUIRE(path.runUntil([&] { return board.backendServers.value().contains("i-1"); }));
+    path.registerServer("i-2", "app", serverPort);
+    registry.leaderSaw(board.registryRevision.value());
+    path.runFor(500ms);
+    CHECK_FALSE(board.backendServers.value().contains("i-2"));
+    registry.leaderSaw(board.registryRevision.value() + 1);
+    // After the pause in which its own watch may still bring the change.
+    CHECK(path.runUntil([&] { return board.backendServers.value().contains("i-2"); }, 4s));
+}
+
 /** The configuration's controller of a node that does not lead. */
 struct Follower : GatewayFixture {
     Follower()
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -151,6 +151,8 @@
 
 auto StoreStandIn::answerWatches() -> void
 {
+    if (this->forgetsWatches)
+        this->forgotten.splice(this->forgotten.end(), this->watches);
     if (this->holdsWatches)
         return;
     for (auto watch = this->watches.begin(); watch != this->watches.end();) {
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -33,6 +33,9 @@
     /** Answers no watch, as if the connection had gone silent. */
     bool holdsWatches = false;
 
+    /** Drops the watches that wait at the next change, without an answer. */
+    bool forgetsWatches = false;
+
     /** Carries out writes and loses their answers. */
     bool losesWrites = false;
 
@@ -79,6 +82,7 @@
     HttpServer fleet;
     std::map<std::string, Item> items;
     std::list<Watch> watches;
+    std::list<Watch> forgotten; ///< Never answered; their connections stay open.
     std::uint64_t revision = 1;
     std::uint64_t oldest = 0;
     std::uint64_t nextLease = 1;
