Traffic: Avoided servers that fail what they run

Cause: an answer of 500 ended an attempt as finished, which says that the server is sound: one that fails all it runs is quick, so it drew the most requests. Ruled out: avoidance after a single error (reads fail one time in seven on any server). Change: attempts end as erred; two in a row count as a failure of the server. Test: cacheawarepolicy, four rows of errors.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -228,7 +228,7 @@
     }
     // The server ran the request and failed it.
     ++this->runs;
-    this->endAttempt(AttemptEnd::Finished);
+    this->endAttempt(AttemptEnd::Erred);
     this->excluded.insert(current.server.id);
     if (this->phase == Phase::Sent && this->details.isRepeatable() && this->retry(true))
         return;
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -14,8 +14,8 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <sigc++/signal.h>
 #include <optional>
+#include <sigc++/signal.h>
 #include <string>
 #include <system_error>
 
--- a/src/libprimrosefork/routingpolicy.h
+++ b/src/libprimrosefork/routingpolicy.h
@@ -38,6 +38,7 @@
 enum class AttemptEnd {
     Finished,
     Failed, ///< The server answered with an error or the connection broke.
+    Erred, ///< The server ran the request and answered that it failed.
     Stalled, ///< No piece came within the idle timeout.
     Cancelled,
 };
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -20,6 +20,7 @@
 constexpr double randomTokens = 40; ///< Keeps nodes with the same view from all choosing alike.
 constexpr auto keepTime = 20s; ///< After which a part that was not read again is taken for evicted.
 constexpr auto observedTime = 2s; ///< After which an observed load counts for nothing.
+constexpr int errorsInRow = 2; ///< After which a server is avoided for a while; a service that fails one request in seven does so by chance in one pair of fifty.
 constexpr std::size_t maxKeptParts = 4'096;
 constexpr std::int64_t leastMeasuredTokens = 1'000; ///< Of a prompt, for its reading to outweigh the rest of the time to the first piece.
 constexpr std::size_t measuredPrompts = 64;
@@ -203,6 +204,12 @@
     auto& state = this->servers[server.id];
     --state.running;
     state.unreadTokens -= found->second.unreadTokens;
+    state.errors = end == AttemptEnd::Erred ? state.errors + 1 : 0;
+    if (end == AttemptEnd::Erred && state.errors < errorsInRow) {
+        // One error says little: some requests fail on any server.
+        this->open.erase(found);
+        return;
+    }
     if (end == AttemptEnd::Finished) {
         this->slowdowns.succeeded(server);
         if (server.kind == BackendKind::Plain)
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -64,6 +64,7 @@
         std::int64_t unreadTokens = 0; ///< Of this node's prompts.
         std::int64_t others = 0; ///< Requests of other nodes, as of the last answer.
         std::int64_t othersWaiting = 0;
+        int errors = 0; ///< One after the other.
         double machineSlowness = 1; ///< As of the last answer.
         TimePoint observed;
         std::unordered_map<std::uint64_t, TimePoint> keptParts; ///< Part sequences that this node had read there, and when.
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -145,4 +145,36 @@
     }
 }
 
+struct ErrorCase {
+    const char* name;
+    std::vector<AttemptEnd> ends; ///< Of requests at one server.
+    bool isAvoided;
+};
+
+const ErrorCase errorCases[] = {
+    { "one error", { AttemptEnd::Erred }, false },
+    { "two errors in a row", { AttemptEnd::Erred, AttemptEnd::Erred }, true },
+    { "errors with a success between", { AttemptEnd::Erred, AttemptEnd::Finished, AttemptEnd::Erred }, false },
+    { "a success after errors", { AttemptEnd::Erred, AttemptEnd::Erred, AttemptEnd::Finished }, false },
+};
+
+TEST_CASE("a server that fails what it runs is avoided for a while")
+{
+    for (const auto& row : errorCases) {
+        CAPTURE(row.name);
+        const Pool pool(2, BackendKind::Plain);
+        CacheAwarePolicy policy(1);
+        std::uint64_t id = 0;
+        for (const auto end : row.ends) {
+            const auto request = makeRequest(++id, {});
+            policy.requestSent(request, pool.servers[0], start);
+            policy.requestEnded(request, pool.servers[0], end, start);
+        }
+        int sent = 0;
+        for (int count = 0; count < 100; ++count)
+            sent += policy.choose(makeRequest(++id, {}), pool.pointers, start + 1ms)->id == "s0" ? 1 : 0;
+        CHECK((sent == 0) == row.isAvoided);
+    }
+}
+
 } // namespace
