--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -150,7 +150,8 @@
         message.session = this->session;
         message.sequence = ++this->sequence;
         static_cast<void>(this->takeReport(message));
-        this->recordNodeCount(this->liveNodes());
+        this->sumReports();
+        this->recordNodeCount(this->heardNodes);
         this->quotas.lead(this->known, this->recordedNodes);
         this->divideEngines();
         return this->takeAnswer(this->answerFor(this->settings.id, 0));
@@ -229,8 +230,7 @@
 auto CoordinationController::answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer
 {
     FleetAnswer answer;
-    const auto now = EventLoop::now();
-    const auto nodes = std::max<std::size_t>(1, this->liveNodes());
+    const auto nodes = std::max<std::size_t>(1, this->heardNodes);
     answer.nodes = static_cast<std::uint32_t>(nodes);
     answer.reportSequence = reportSequence;
     const auto node = this->known.find(nodeId);
@@ -241,20 +241,30 @@
     if (node == this->known.end() || !traffic.table)
         return answer;
     for (const auto& workspace : traffic.table->configuration().workspaces) {
-        double total = 0;
-        for (const auto& [id, other] : this->known) {
-            if (now - other.heard < nodeMemory)
-                total += askedOf(other.report, workspace.name);
-        }
+        const auto found = this->totals.find(workspace.name);
+        const auto total = found == this->totals.end() ? 0 : found->second;
         const auto quota = static_cast<double>(std::max<std::int64_t>(1, workspace.quota.perSecond));
         const auto spare = std::max(leastSpare, 1 - total / quota);
-        const auto part = total > 0 ? askedOf(node->second.report, workspace.name) / total : 0;
+        const auto part = total > 0 ? std::min(1.0, askedOf(node->second.report, workspace.name) / total) : 0;
         answer.shares.push_back({ workspace.name, spare / static_cast<double>(nodes) + (1 - spare) * part });
     }
     answer.streamEngines = this->streamEngines;
     return answer;
 }
 
+auto CoordinationController::sumReports() -> void
+{
+    this->heardNodes = this->liveNodes();
+    this->totals.clear();
+    const auto now = EventLoop::now();
+    for (const auto& [id, node] : this->known) {
+        if (now - node.heard >= nodeMemory)
+            continue;
+        for (const auto& entry : node.report.workspaces)
+            this->totals[entry.workspace] += entry.askedPerSecond;
+    }
+}
+
 auto CoordinationController::divideEngines() -> void
 {
     this->streamEngines.clear();
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -71,6 +71,7 @@
     auto takeReport(const FleetMessage&) -> bool;
     auto takeAnswer(const FleetAnswer&) -> void;
     auto ask(const QuotaQuestion&) -> void;
+    auto sumReports() -> void;
     auto divideEngines() -> void;
     [[nodiscard]] auto answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer;
     [[nodiscard]] auto liveNodes() const -> std::size_t;
@@ -91,6 +92,8 @@
     Timer reportTimer;
     std::optional<PeerKeyring> keyring;
     KnownNodes known;
+    std::size_t heardNodes = 0; ///< On the leader, as of its last own report.
+    std::map<std::string, double> totals; ///< Asked a second of all nodes, by workspace; as of the same.
     std::map<std::string, StreamPartition> partitions; ///< On the leader, by service.
     std::vector<StreamEngines> streamEngines;
     std::uint64_t session;
