Gateway: Looked workspaces up in the route table

Cause: QuotaController searched the list of workspaces for each question, where RouteTable::workspace has the same by hash; on the leader that is each request with a quota. Change: the table's look-up is used, the copy removed. Behaviour is the same.

--- a/src/gateway/quotacontroller.cpp
+++ b/src/gateway/quotacontroller.cpp
@@ -50,16 +50,6 @@
     return leadership.isOwn && BootClock::now() < leadership.validUntil;
 }
 
-auto QuotaController::workspaceOf(const std::string& name) const -> const TrafficWorkspace*
-{
-    const auto& table = this->board.traffic.value().table;
-    if (!table)
-        return nullptr;
-    const auto& workspaces = table->configuration().workspaces;
-    const auto found = std::find_if(workspaces.begin(), workspaces.end(), [&name](const auto& entry) { return entry.name == name; });
-    return found == workspaces.end() ? nullptr : &*found;
-}
-
 auto QuotaController::request(const TrafficWorkspace& workspace, double units, Handler handler) -> void
 {
     if (workspace.quota.perSecond <= 0)
@@ -130,7 +120,8 @@
 auto QuotaController::answer(const QuotaQuestion& question) -> QuotaGrant
 {
     QuotaGrant grant { question.number, QuotaVerdict::Unknown, 0ms };
-    const auto* workspace = this->workspaceOf(question.workspace);
+    const auto& table = this->board.traffic.value().table;
+    const auto* workspace = table ? table->workspace(question.workspace) : nullptr;
     if (!this->isLeading() || !workspace || !this->ledger.isOpen(question.workspace))
         return grant;
     const auto wait = this->ledger.request(*workspace, question.units, EventLoop::now());
--- a/src/gateway/quotacontroller.h
+++ b/src/gateway/quotacontroller.h
@@ -77,7 +77,6 @@
     auto openAccounts(EventLoop::TimePoint now) -> void;
     auto takeHistory(const std::map<std::string, KnownNode>&, std::size_t recordedNodes, EventLoop::TimePoint now) -> void;
     auto debitOwnGrants(const std::map<std::string, KnownNode>&) -> void;
-    [[nodiscard]] auto workspaceOf(const std::string& name) const -> const TrafficWorkspace*;
     [[nodiscard]] auto isLeading() const -> bool;
 
     const GatewaySettings& settings;
