Forwarding: Logged how a caller's connection ended before its answer

The log could not tell whether the caller left, the connection failed (dead peer, reset) or the node closed it: 4102 said "caller_gone" for all of them, and a connection that is closed without a request in progress leaves no line.

4102 now has `connection`: "closed by the caller", "timed out" or the error of the socket. No decision changes.

--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -11,6 +11,7 @@
 #include <event2/event.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <utility>
 
 using namespace std::chrono_literals;
@@ -112,7 +113,7 @@
         this->stream,
         [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->readable(); },
         [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->outputWritten(); },
-        [](bufferevent*, short, void* self) { static_cast<CallerConnection*>(self)->connectionEnded(); }, this);
+        [](bufferevent*, short events, void* self) { static_cast<CallerConnection*>(self)->eventReceived(events); }, this);
     bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     this->timer.start(limits.idleTimeout);
@@ -247,22 +248,23 @@
     this->timer.start(lingerTimeout);
 }
 
-auto CallerConnection::connectionEnded() -> void
+auto CallerConnection::eventReceived(short events) -> void
 {
-    this->close();
+    const std::error_code error(EVUTIL_SOCKET_ERROR(), std::system_category());
+    this->close((events & BEV_EVENT_EOF) != 0 ? "closed by the caller" : error.message());
 }
 
 auto CallerConnection::timedOut() -> void
 {
     if (this->state == State::Reading && this->parser.hasBegun())
         return this->reject(statusRequestTimeout);
-    this->close();
+    this->close("timed out");
 }
 
 auto CallerConnection::closeIfIdle() -> void
 {
     if (this->state == State::Reading && !this->parser.hasBegun() && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0)
-        this->close();
+        this->close("idle");
 }
 
 auto CallerConnection::isBusy() const -> bool
@@ -271,7 +273,7 @@
         || evbuffer_get_length(bufferevent_get_output(this->stream)) > 0;
 }
 
-auto CallerConnection::close() -> void
+auto CallerConnection::close(const std::string& reason) -> void
 {
     if (this->state == State::Closed)
         return;
@@ -280,7 +282,7 @@
     bufferevent_disable(this->stream, EV_READ | EV_WRITE);
     if (const auto current = std::exchange(this->exchange, nullptr)) {
         current->connection = nullptr;
-        current->closed.emit();
+        current->closed.emit(reason);
     }
     this->loop.post([this] {
         // Moved out first, because the handler destroys the connection and with it the member.
--- a/src/forwarding/callerconnection.h
+++ b/src/forwarding/callerconnection.h
@@ -51,8 +51,8 @@
     [[nodiscard]] auto isCongested() const -> bool;
     [[nodiscard]] auto isOver() const -> bool { return this->connection == nullptr; }
 
-    /** Emitted once if the caller disconnects before the response is complete. */
-    sigc::signal<void> closed;
+    /** Emitted once, with the reason, if the connection ends before the response is complete. */
+    sigc::signal<void, const std::string&> closed;
 
     /** Emitted when all buffered output of a stream has been written to the socket. */
     sigc::signal<void> drained;
@@ -106,13 +106,13 @@
     auto bodyReceived(std::string_view) -> void;
     auto messageReceived() -> void;
     auto outputWritten() -> void;
-    auto connectionEnded() -> void;
+    auto eventReceived(short events) -> void;
     auto timedOut() -> void;
     auto reject(int status) -> void;
     auto writeHead(int status, const HttpHeaders&, std::string_view framing) -> void;
     auto responseCompleted() -> void;
     auto closeAfterWriting() -> void;
-    auto close() -> void;
+    auto close(const std::string& reason) -> void;
 
     EventLoop& loop;
     CallerLimits limits;
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -69,9 +69,9 @@
 auto ForwardRun::begin() -> void
 {
     this->deadlineTimer.start(timerDelay(this->details.deadline + deadlineGrace - EventLoop::now()));
-    this->exchange->closed.connect([this, alive = this->isAlive] {
+    this->exchange->closed.connect([this, alive = this->isAlive](const std::string& reason) {
         if (*alive)
-            this->callerDisconnected();
+            this->callerDisconnected(reason);
     });
     this->exchange->drained.connect([this, alive = this->isAlive] {
         if (*alive && this->attempt && this->attempt->call)
@@ -411,7 +411,7 @@
     this->fail(HttpStatus::gatewayTimeout, "deadline");
 }
 
-auto ForwardRun::callerDisconnected() -> void
+auto ForwardRun::callerDisconnected(const std::string& reason) -> void
 {
     if (this->phase == Phase::Over)
         return;
@@ -419,7 +419,7 @@
         this->attempt->call->cancel();
         this->endAttempt(AttemptEnd::Cancelled);
     }
-    this->recordOutcome(0, "caller_gone");
+    this->recordOutcome(0, "caller_gone", reason);
     this->finish();
 }
 
@@ -430,13 +430,13 @@
     this->context.requestBegan(this->details.workspace->name, ago);
 }
 
-auto ForwardRun::recordOutcome(int status, const char* reason) const -> void
+auto ForwardRun::recordOutcome(int status, const char* reason, const std::string& connectionEnd) const -> void
 {
     const std::string_view outcome(reason);
     this->context.metrics.count("requests_total{route=\"" + this->details.route->name + "\",status=\"" + std::to_string(status) + "\",reason=\"" + reason + "\"}");
     this->context.metrics.observe("request_seconds", EventLoop::now() - this->details.received);
     this->context.log.write(outcome.empty() ? Event::RequestAnswered : Event::RequestNotAnswered,
-        { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "status", std::to_string(status) }, { "reason", reason },
+        { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "status", std::to_string(status) }, { "reason", reason }, { "connection", connectionEnd },
             { "backend", this->attempt ? this->attempt->server.id : "" }, { "ms", std::to_string(this->age().count()) },
             { "attempts", std::to_string(this->attempts) }, { "runs", std::to_string(this->possibleRuns) }, { "events", std::to_string(this->eventCount) },
             { "configuration", std::to_string(this->details.table->configuration().version) } });
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -46,7 +46,8 @@
     /** Tries to choose a server again if the run is waiting for one. */
     auto advance() -> void;
 
-    auto callerDisconnected() -> void;
+    /** Ends the run because the caller's connection ended for \a reason. */
+    auto callerDisconnected(const std::string& reason) -> void;
 
     /** Moves the run to another engine if its engine shuts down in \a timeLeft and the run is expected to take longer. */
     auto serverLeaving(std::chrono::milliseconds timeLeft) -> void;
@@ -86,7 +87,7 @@
     auto fail(int status, const char* reason) -> void;
     auto deadlineReached() -> void;
     auto reportStart(std::chrono::milliseconds ago) -> void;
-    auto recordOutcome(int status, const char* reason) const -> void;
+    auto recordOutcome(int status, const char* reason, const std::string& connectionEnd = {}) const -> void;
     auto endAttempt(AttemptEnd) -> void;
     auto finish() -> void;
     [[nodiscard]] auto age() const -> std::chrono::milliseconds;
