Http: Handled input that had arrived before timers that expired while the loop was busy

Cause: in one turn of the loop, libevent first reads the sockets, then calls the timers that have expired, and only then the deferred callbacks of the buffers that it has filled. After a long turn (a configuration of 1,449 routes takes 140 ms to 400 ms on a quarter of a core) the idle timer of a kept connection expired in the same turn in which its next request was read: the connection was closed with the request in its buffer. It is a timeout decided before the input that had arrived.

Evidence: a trial that logs each closed connection: "timed out", state Reading, 15,140 ms after the timer of 15,000 ms was started, 4,096 bytes in the buffer, 11,461 in the kernel. Ruled out: dead-peer detection (no connection was closed with an error of the socket), runs that end without an answer (none had an exchange), processes that end (no restarts).

Change: a timer that has expired calls its task in the next turn of the loop, after the input of this one, and not at all if that input stops or restarts it. This holds for all timers: idle connections, deadlines, connects, replies of nodes.

What is left crosses the close on its way: the connection is idle for the whole timeout.

--- a/src/http/eventloop.cpp
+++ b/src/http/eventloop.cpp
@@ -56,47 +56,57 @@
 
 Timer::Timer(EventLoop& loop, std::function<void()> task)
     : task(std::move(task))
-    , timerEvent(evtimer_new(
+    , delayEvent(evtimer_new(
+          loop.base(), [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->expired(); }, this))
+    , taskEvent(evtimer_new(
           loop.base(), [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire(); }, this))
 {
 }
 
 Timer::~Timer()
 {
-    event_free(this->timerEvent);
+    event_free(this->delayEvent);
+    event_free(this->taskEvent);
 }
 
 auto Timer::start(std::chrono::microseconds delay) -> void
 {
-    this->period = std::chrono::microseconds(0);
+    this->stop();
     const auto wait = toTimeval(delay);
-    evtimer_add(this->timerEvent, &wait);
+    evtimer_add(this->delayEvent, &wait);
 }
 
 auto Timer::startRepeating(std::chrono::microseconds every) -> void
 {
+    this->start(every);
     this->period = every;
-    const auto wait = toTimeval(every);
-    evtimer_add(this->timerEvent, &wait);
 }
 
 auto Timer::stop() -> void
 {
     this->period = std::chrono::microseconds(0);
-    evtimer_del(this->timerEvent);
+    evtimer_del(this->delayEvent);
+    evtimer_del(this->taskEvent);
 }
 
 auto Timer::isRunning() const -> bool
 {
-    return evtimer_pending(this->timerEvent, nullptr) != 0;
+    return evtimer_pending(this->delayEvent, nullptr) != 0 || evtimer_pending(this->taskEvent, nullptr) != 0;
 }
 
-auto Timer::fire() -> void
+auto Timer::expired() -> void
 {
     if (this->period.count() > 0) {
         const auto wait = toTimeval(this->period);
-        evtimer_add(this->timerEvent, &wait);
+        evtimer_add(this->delayEvent, &wait);
     }
+    // In one turn, libevent calls expired timers before the deferred callbacks of buffers that it has just filled.
+    const timeval nextTurn { 0, 0 };
+    evtimer_add(this->taskEvent, &nextTurn);
+}
+
+auto Timer::fire() -> void
+{
     this->task();
 }
 
--- a/src/http/eventloop.h
+++ b/src/http/eventloop.h
@@ -50,6 +50,10 @@
 
 /**
  * Calls a task after a delay, once or periodically.
+ *
+ * When the loop was busy as the delay ended, input that arrived in that time is
+ * handled first, and the task is called only if the timer was not stopped or
+ * started again meanwhile.
  */
 class Timer {
 public:
@@ -68,11 +72,13 @@
     [[nodiscard]] auto isRunning() const -> bool;
 
 private:
+    auto expired() -> void;
     auto fire() -> void;
 
     std::function<void()> task;
     std::chrono::microseconds period { 0 };
-    event* timerEvent;
+    event* delayEvent; ///< Pending until the delay has ended.
+    event* taskEvent; ///< Pending from then until the loop has handled the input that had arrived.
 };
 
 /**
--- /dev/null
+++ b/tests/http/test_eventloop.cpp
@@ -0,0 +1,73 @@
+#include "eventloop.h"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace Primrosefork;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds delay = 20ms;
+
+/** A buffer whose input stops a timer, like a response that ends the wait for it. */
+struct TimeoutFixture {
+    TimeoutFixture()
+    {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, this->sockets.data()) == 0);
+        this->stream = bufferevent_socket_new(this->loop.base(), this->sockets[0], BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+        bufferevent_setcb(
+            this->stream, [](bufferevent*, void* self) { static_cast<TimeoutFixture*>(self)->timer.stop(); }, nullptr, nullptr, this);
+        bufferevent_enable(this->stream, EV_READ);
+    }
+
+    ~TimeoutFixture()
+    {
+        bufferevent_free(this->stream);
+        ::close(this->sockets[1]);
+    }
+
+    EventLoop loop;
+    int expired = 0;
+    Timer timer { loop, [this] { ++this->expired; } };
+    std::array<int, 2> sockets {};
+    bufferevent* stream = nullptr;
+};
+
+struct BusyLoopCase {
+    const char* name;
+    bool hasInput; ///< Whether input arrives before the delay ends.
+    bool repeats;
+    int expired; ///< Number of times that the task is called.
+};
+
+const BusyLoopCase busyLoopCases[] = {
+    { "input that arrived in time", true, false, 0 },
+    { "no input", false, false, 1 },
+    { "input that arrived in time, repeating timer", true, true, 0 },
+    { "no input, repeating timer", false, true, 1 },
+};
+
+// Guards against a timeout for input that had arrived in time, but was not read yet because the loop was busy.
+TEST_CASE("input that arrives while the loop is busy is handled before a timer that expired meanwhile")
+{
+    for (const auto& row : busyLoopCases) {
+        CAPTURE(row.name);
+        TimeoutFixture fixture;
+        row.repeats ? fixture.timer.startRepeating(delay) : fixture.timer.start(delay);
+        if (row.hasInput)
+            REQUIRE(::write(fixture.sockets[1], "x", 1) == 1);
+        std::this_thread::sleep_for(2 * delay);
+        for (int turn = 0; turn < 3; ++turn)
+            fixture.loop.runOnce();
+        CHECK(fixture.expired == row.expired);
+        CHECK(fixture.timer.isRunning() == (row.repeats && !row.hasInput));
+    }
+}
+
+} // namespace
