Http: Queued a timer's task behind the input that was read in the same turn

Cause: the task ran at the beginning of the next turn. Input that arrived while later callbacks of the first turn kept the loop busy is read in that next turn, but its deferred callback runs after the timers.

Change: in the next turn the task is queued behind the callbacks of the buffers.

Test: eventloop, row "input that arrived while the loop was still busy", failed before (17 of 18 checks).

--- a/src/http/eventloop.cpp
+++ b/src/http/eventloop.cpp
@@ -59,7 +59,7 @@
     , delayEvent(evtimer_new(
           loop.base(), [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->expired(); }, this))
     , taskEvent(evtimer_new(
-          loop.base(), [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire(); }, this))
+          loop.base(), [](evutil_socket_t, short events, void* self) { static_cast<Timer*>(self)->taskDue((events & EV_TIMEOUT) != 0); }, this))
 {
 }
 
@@ -91,7 +91,7 @@
 
 auto Timer::isRunning() const -> bool
 {
-    return evtimer_pending(this->delayEvent, nullptr) != 0 || evtimer_pending(this->taskEvent, nullptr) != 0;
+    return evtimer_pending(this->delayEvent, nullptr) != 0 || event_pending(this->taskEvent, EV_TIMEOUT | EV_READ, nullptr) != 0;
 }
 
 auto Timer::expired() -> void
@@ -100,13 +100,16 @@
         const auto wait = toTimeval(this->period);
         evtimer_add(this->delayEvent, &wait);
     }
-    // In one turn, libevent calls expired timers before the deferred callbacks of buffers that it has just filled.
+    // Input that has arrived up to the end of this turn is read in the next one.
     const timeval nextTurn { 0, 0 };
     evtimer_add(this->taskEvent, &nextTurn);
 }
 
-auto Timer::fire() -> void
+auto Timer::taskDue(bool isTurnBeginning) -> void
 {
+    // In one turn, libevent calls expired timers before the deferred callbacks of the buffers that it has just filled, so the task queues behind these.
+    if (isTurnBeginning)
+        return event_active(this->taskEvent, EV_READ, 1);
     this->task();
 }
 
--- a/src/http/eventloop.h
+++ b/src/http/eventloop.h
@@ -73,7 +73,7 @@
 
 private:
     auto expired() -> void;
-    auto fire() -> void;
+    auto taskDue(bool isTurnBeginning) -> void;
 
     std::function<void()> task;
     std::chrono::microseconds period { 0 };
--- a/tests/http/test_eventloop.cpp
+++ b/tests/http/test_eventloop.cpp
@@ -39,18 +39,26 @@
     bufferevent* stream = nullptr;
 };
 
+/** When input arrives, if it does. */
+enum class Input {
+    None,
+    BeforeExpiry,
+    DuringTurn, ///< While a later callback of the turn in which the timer expires keeps the loop busy.
+};
+
 struct BusyLoopCase {
     const char* name;
-    bool hasInput; ///< Whether input arrives before the delay ends.
+    Input input;
     bool repeats;
     int expired; ///< Number of times that the task is called.
 };
 
 const BusyLoopCase busyLoopCases[] = {
-    { "input that arrived in time", true, false, 0 },
-    { "no input", false, false, 1 },
-    { "input that arrived in time, repeating timer", true, true, 0 },
-    { "no input, repeating timer", false, true, 1 },
+    { "input that arrived in time", Input::BeforeExpiry, false, 0 },
+    { "input that arrived while the loop was still busy", Input::DuringTurn, false, 0 },
+    { "no input", Input::None, false, 1 },
+    { "input that arrived in time, repeating timer", Input::BeforeExpiry, true, 0 },
+    { "no input, repeating timer", Input::None, true, 1 },
 };
 
 // Guards against a timeout for input that had arrived in time, but was not read yet because the loop was busy.
@@ -60,13 +68,16 @@
         CAPTURE(row.name);
         TimeoutFixture fixture;
         row.repeats ? fixture.timer.startRepeating(delay) : fixture.timer.start(delay);
-        if (row.hasInput)
-            REQUIRE(::write(fixture.sockets[1], "x", 1) == 1);
+        const auto write = [&fixture] { CHECK(::write(fixture.sockets[1], "x", 1) == 1); };
+        if (row.input == Input::BeforeExpiry)
+            write();
         std::this_thread::sleep_for(2 * delay);
+        if (row.input == Input::DuringTurn)
+            fixture.loop.post(write);
         for (int turn = 0; turn < 3; ++turn)
             fixture.loop.runOnce();
         CHECK(fixture.expired == row.expired);
-        CHECK(fixture.timer.isRunning() == (row.repeats && !row.hasInput));
+        CHECK(fixture.timer.isRunning() == (row.repeats && row.input == Input::None));
     }
 }
 
