Forwarding: Announced the idle timeout of callers' connections, and kept it with a margin

Cause: the node closed idle connections at the timeout of the configuration, but no answer said so. Callers reused connections that had been idle for up to 14.9 s of 15 s (trial that logs reuse), so that requests crossed the close on their way.

Change: answers say `Keep-Alive: timeout=N`, and the node keeps a connection one second longer than that, for the last answer and the next request on their way.

--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -24,6 +24,7 @@
 constexpr int statusHeadTooLarge = 431;
 constexpr std::size_t streamBufferBytes = 64 * kibibyte; ///< Unsent output above which a stream counts as congested.
 constexpr std::size_t maxReadAheadBytes = 64 * kibibyte; ///< Limit for input of the next request that is buffered during a response.
+constexpr std::chrono::milliseconds idleMargin = 1s; ///< Added to the idle timeout: the last response and the next request are on their way while the caller keeps within it.
 constexpr std::chrono::milliseconds lingerTimeout = 1s; ///< Time for the caller to read the last response and close the connection.
 constexpr std::chrono::milliseconds finalWriteTimeout = 30s; ///< Time limit for writing the last response, if the caller does not read it.
 
@@ -116,7 +117,7 @@
         [](bufferevent*, short events, void* self) { static_cast<CallerConnection*>(self)->eventReceived(events); }, this);
     bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
-    this->timer.start(limits.idleTimeout);
+    this->timer.start(limits.idleTimeout + idleMargin);
 }
 
 CallerConnection::~CallerConnection()
@@ -201,8 +202,11 @@
     for (const auto& header : headers)
         text += header.name + ": " + header.value + "\r\n";
     text += framing;
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(this->limits.idleTimeout).count();
     if (this->closesAfterResponse)
         text += "Connection: close\r\n";
+    else if (seconds > 0)
+        text += "Keep-Alive: timeout=" + std::to_string(seconds) + "\r\n";
     text += "\r\n";
     bufferevent_write(this->stream, text.data(), text.size());
 }
@@ -215,7 +219,7 @@
         return this->closeAfterWriting();
     this->state = State::Reading;
     this->parser.reset();
-    this->timer.start(this->limits.idleTimeout);
+    this->timer.start(this->limits.idleTimeout + idleMargin);
     // The next request may already be buffered. It is parsed from the event loop, since this one is still on the call stack.
     bufferevent_trigger(this->stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
