Forwarding: A planned stop does not cut off requests that have arrived but are not read

Cause: closing idle connections looked at the buffer only, not at what waits in the kernel, and such a connection did not count as busy, so that the process could end.

Change: a connection with unread input is neither idle nor unused.

--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -10,6 +10,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <system_error>
 #include <utility>
@@ -267,13 +268,21 @@
 
 auto CallerConnection::closeIfIdle() -> void
 {
-    if (this->state == State::Reading && !this->parser.hasBegun() && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0)
+    if (this->state == State::Reading && !this->parser.hasBegun() && !this->hasUnreadInput())
         this->close("idle");
 }
 
+auto CallerConnection::hasUnreadInput() const -> bool
+{
+    int unread = 0;
+    const auto isKnown = ioctl(bufferevent_getfd(this->stream), FIONREAD, &unread) == 0;
+    return evbuffer_get_length(bufferevent_get_input(this->stream)) > 0 || (isKnown && unread > 0);
+}
+
 auto CallerConnection::isBusy() const -> bool
 {
-    return this->state == State::Responding || this->state == State::Closing || (this->state == State::Reading && this->parser.hasBegun())
+    return this->state == State::Responding || this->state == State::Closing
+        || (this->state == State::Reading && (this->parser.hasBegun() || this->hasUnreadInput()))
         || evbuffer_get_length(bufferevent_get_output(this->stream)) > 0;
 }
 
--- a/src/forwarding/callerconnection.h
+++ b/src/forwarding/callerconnection.h
@@ -86,7 +86,7 @@
 
     [[nodiscard]] auto isResponding() const -> bool { return this->exchange != nullptr; }
 
-    /** Returns whether a request is being received or handled, or a response is not completely sent. */
+    /** Returns whether a request has arrived at least in part or is being handled, or a response is not completely sent. */
     [[nodiscard]] auto isBusy() const -> bool;
 
 private:
@@ -111,6 +111,7 @@
     auto reject(int status) -> void;
     auto writeHead(int status, const HttpHeaders&, std::string_view framing) -> void;
     auto responseCompleted() -> void;
+    [[nodiscard]] auto hasUnreadInput() const -> bool;
     auto closeAfterWriting() -> void;
     auto close(const std::string& reason) -> void;
 
--- a/tests/callers/test_callerconnection.cpp
+++ b/tests/callers/test_callerconnection.cpp
@@ -133,4 +133,34 @@
     }
 }
 
+struct StopCase {
+    const char* name;
+    bool sends; ///< Whether the caller sends another request before idle connections are closed.
+    int answered; ///< Number of requests that are answered in all.
+};
+
+const StopCase stopCases[] = {
+    { "a request that is not read yet", true, 2 },
+    { "no request", false, 1 },
+};
+
+// Guards against cutting off a request that arrives while a planned stop closes idle connections.
+TEST_CASE("a planned stop closes idle connections only if they have no unread input")
+{
+    for (const auto& row : stopCases) {
+        CAPTURE(row.name);
+        ListenerFixture fixture;
+        RawConnection caller(callersAddress);
+        caller.send(request);
+        REQUIRE(fixture.runUntil([&] { return fixture.answered == 1; }));
+        if (row.sends)
+            caller.send(request);
+        fixture.listener.beginDrain();
+        fixture.listener.closeIdle();
+        CHECK((fixture.listener.busyCount() > 0) == row.sends);
+        static_cast<void>(fixture.runUntil([&] { return fixture.listener.connectionCount() == 0 || fixture.answered > 1; }));
+        CHECK(fixture.answered == row.answered);
+    }
+}
+
 } // namespace
