Tests: Added servers that leave by their own word or ask for a pause

Callers' requests go on reaching a server whose answers say `Server-Leaving: 1`, and one that turned requests away with 503 and `Retry-After`: the node reads neither header.

--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -93,11 +93,11 @@
             + R"(],"services":[{"name":"app","max-conns":110},{"name":"llm","max-conns":370,"engine":{"capacity":64,"kv-tokens":300000,"moves":true}}],"tenants":[{"name":"salon","api-keys":)" + keys + "}]}");
 }
 
-auto GatewayFixture::registerServer(const std::string& id, const std::string& service, int port, const std::string& state) -> void
+auto GatewayFixture::registerServer(const std::string& id, const std::string& service, int port, const std::string& state, const std::string& more) -> void
 {
     const auto engine = service == "llm" ? R"(,"stage":"both")" : "";
     this->platform.put("servers/" + id,
-        R"({"backend":")" + service + R"(","address":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"a","capacity":6,"state":")" + state + "\"" + engine + "}");
+        R"({"backend":")" + service + R"(","address":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"a","capacity":6,"state":")" + state + "\"" + engine + more + "}");
 }
 
 auto GatewayFixture::answerTo(const std::string& request, int status, const std::string& body, const std::string& more) -> std::string
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -38,8 +38,8 @@
     /** Writes the operator's configuration with \a version and the credentials in \a keys, a JSON list. */
     auto configure(int version, const std::string& keys = R"(["k1"])") -> void;
 
-    /** Registers the server \a id of \a service at \a port in \a state. */
-    auto registerServer(const std::string& id, const std::string& service, int port, const std::string& state = "ready") -> void;
+    /** Registers the server \a id of \a service at \a port in \a state, with the further JSON members \a more. */
+    auto registerServer(const std::string& id, const std::string& service, int port, const std::string& state = "ready", const std::string& more = "") -> void;
 
     /** Returns a complete answer to \a request with \a status, \a body and the header lines \a more. */
     [[nodiscard]] static auto answerTo(const std::string& request, int status, const std::string& body, const std::string& more = "") -> std::string;
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -59,6 +59,12 @@
     this->inputs.clear();
 }
 
+auto ScriptedServer::sendToAll(const std::string& bytes) -> void
+{
+    for (const auto& [stream, input] : this->inputs)
+        bufferevent_write(stream, bytes.data(), bytes.size());
+}
+
 auto ScriptedServer::accepted(int socket) -> void
 {
     auto* stream = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -35,6 +35,9 @@
     /** Closes all connections, like a server process that exits. */
     auto closeAll() -> void;
 
+    /** Sends \a bytes on all connections, like a stream that goes on. */
+    auto sendToAll(const std::string& bytes) -> void;
+
     /** All requests received so far, with head and body. */
     std::vector<std::string> requests;
 
