Forwarding: Stopped sending to servers that say in an answer that they leave

Callers' requests reached a server after it had said in its answers (`Server-Leaving: 1`) that it leaves, until the store said so too; with the store out of reach that took as long as the outage. The node did not read the header.

The head of each answer is read now, whatever its status, so that the head of a stream that goes on counts too. ServerAvailability records it for this start of the server, and chooseServer() takes such servers from the candidates before the policy, which picks any candidate when all have failed. So requests that wait, repeats, resumes and destinations of moves are covered at one place. The record replaces ForwardController::avoidedServers, whose second of avoidance after a 421 is kept as it was. Runs at such a server are tried to be moved every 100 ms while they last, as the head comes before the first event and a stream moves only after that. A copy is resumed from at a server that leaves within the drain bound only. A record outlives its registration by 60 s, since one that lapses with the store away comes back.

Ruled out: treating it as a registration that drains, as the next change of the store would overwrite that. An answer with 421 is by another server at the address and states nothing about the one that was asked.

--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -28,6 +28,12 @@
 
     /** Reports that the server \a id is no longer at its address. */
     virtual auto serverMoved(const std::string& id) -> void = 0;
+
+    /** Reports what \a server stated about itself in the head of an answer with \a reply. */
+    virtual auto replyReceived(const BackendServer& server, const ReplyFields& reply) -> void = 0;
+
+    /** Returns whether a run may continue at \a server from its copy there. */
+    [[nodiscard]] virtual auto mayResumeCopy(const BackendServer& server, EventLoop::TimePoint now) const -> bool = 0;
 };
 
 /** The components that all runs of a node share. */
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -163,6 +163,7 @@
     current.isEventStream = head.status == HttpStatus::ok && isEventStream(head.headers);
     if (reply.load)
         this->context.policy.loadObserved(current.server, *reply.load, EventLoop::now());
+    this->context.servers.replyReceived(current.server, reply);
     if (!reply.isNotRun && !current.isEventStream)
         this->reportStart(millisecondsSince(current.sent));
 }
@@ -341,7 +342,8 @@
 
 auto ForwardRun::resumeFromCopy() -> bool
 {
-    if (this->details.deadline - EventLoop::now() < minRemainingTime)
+    const auto now = EventLoop::now();
+    if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now))
         return false;
     this->endAttempt(AttemptEnd::Cancelled);
     const auto server = *this->destination;
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::chrono::milliseconds connectTimeout = 700ms; ///< Allows for two retransmissions of a lost packet.
 constexpr std::chrono::milliseconds waitCheckPeriod = 20ms; ///< Period at which requests that wait for a server are tried again.
-constexpr std::chrono::milliseconds avoidTime = 1s; ///< Time for which a server is not chosen after another one answered at its address, until the registry shows which one is there.
+constexpr std::chrono::milliseconds moveCheckPeriod = 100ms; ///< Period at which runs are tried to be moved; a run can be moved only after its first event.
 constexpr std::chrono::milliseconds freshnessMargin = 150ms; ///< Allowance for clock drift and for requests that wait to be read.
 constexpr std::chrono::milliseconds notReadyRetryDelay = 500ms; ///< Retry-After for callers while the node has no configuration, a stale one, or no service for the route.
 constexpr double connectionPart = 0.8; ///< Fraction of the connections accepted by a server that all nodes together open.
@@ -58,6 +58,7 @@
             this->usage.requestBegan(workspace, this->clock.at(EventLoop::now()) - ago);
         } }
     , waitTimer(loop, [this] { this->advanceWaiting(); })
+    , moveTimer(loop, [this] { this->moveRuns(this->board.backendServers.value()); })
     , random(static_cast<std::minstd_rand::result_type>(hash64(settings.id + "/split")))
     , nodeCount(board.fleetShare.value().nodes)
     , lastReport(EventLoop::now())
@@ -216,6 +217,7 @@
         this->policy.serverRemoved(entry.first);
         return true;
     });
+    this->availability.retain(servers, EventLoop::now());
     this->assignStreamEngines();
     this->advanceWaiting();
     this->moveRuns(servers);
@@ -236,11 +238,18 @@
 
 auto ForwardController::moveRuns(const BackendServers& servers) -> void
 {
+    auto isCheckDue = false;
     for (const auto& [id, run] : this->runs) {
         const auto server = servers.find(run->serverId());
-        if (server != servers.end() && server->second.state == InstanceState::Leaving)
-            run->serverLeaving(server->second.leavesIn.value_or(this->settings.bounds.drain));
+        if (server == servers.end())
+            continue;
+        const auto leavingFor = this->availability.leavingFor(server->second, EventLoop::now());
+        isCheckDue = isCheckDue || leavingFor;
+        if (leavingFor || server->second.state == InstanceState::Leaving)
+            run->serverLeaving(server->second.leavesIn.value_or(this->settings.bounds.drain - leavingFor.value_or(0ms)));
     }
+    if (isCheckDue)
+        this->moveTimer.start(moveCheckPeriod);
 }
 
 auto ForwardController::shareChanged(const FleetShare& share) -> void
@@ -278,7 +287,6 @@
     const auto found = this->serversByService.find(request.service->name);
     if (found == this->serversByService.end())
         return nullptr;
-    std::erase_if(this->avoidedServers, [now](const auto& entry) { return entry.second <= now; });
     RoutingRequest routing;
     routing.id = request.id;
     routing.promptTokens = request.fields.promptTokens;
@@ -286,8 +294,8 @@
     routing.promptParts = request.fields.promptParts;
     routing.zone = this->settings.zone;
     auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random);
-    std::erase_if(candidates, [this, &request, &excluded](const auto* server) {
-        return excluded.contains(server->id) || this->avoidedServers.contains(server->id) || !this->hasFreeConnection(*server, *request.service);
+    std::erase_if(candidates, [this, &request, &excluded, now](const auto* server) {
+        return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->hasFreeConnection(*server, *request.service);
     });
     const auto* server = this->policy.choose(routing, candidates, now);
     if (server)
@@ -302,7 +310,31 @@
 
 auto ForwardController::serverMoved(const std::string& id) -> void
 {
-    this->avoidedServers[id] = EventLoop::now() + avoidTime;
+    if (this->availability.addressTaken(id, EventLoop::now()))
+        this->logLeftOut(id, UnavailableReason::AddressTaken, ServerAvailability::addressTakenTime);
+}
+
+auto ForwardController::replyReceived(const BackendServer& server, const ReplyFields& reply) -> void
+{
+    // Such an answer comes from another server at the address.
+    if (reply.isMisdirected)
+        return;
+    if (reply.isServerLeaving && this->availability.leavingReported(server, EventLoop::now())) {
+        this->logLeftOut(server.id, UnavailableReason::Leaving, {});
+        this->moveTimer.start(0ms);
+    }
+}
+
+auto ForwardController::mayResumeCopy(const BackendServer& server, EventLoop::TimePoint now) const -> bool
+{
+    return this->availability.mayResumeCopy(server, this->settings.bounds.drain, now);
+}
+
+auto ForwardController::logLeftOut(const std::string& id, UnavailableReason reason, std::optional<std::chrono::milliseconds> duration) -> void
+{
+    this->metrics.count("servers_left_out_total{reason=\"" + std::string(nameOf(reason)) + "\"}");
+    this->log.write(Event::BackendLeftOut,
+        { { "backend", id }, { "reason", std::string(nameOf(reason)) }, { "for_ms", duration ? std::to_string(duration->count()) : "" } });
 }
 
 auto ForwardController::makeReport() -> NodeReport
@@ -340,7 +372,13 @@
     auto running = nlohmann::json::array();
     for (const auto& [id, run] : this->runs)
         running.push_back(run->dumpState());
-    return { { "running", std::move(running) }, { "connections_opened", this->pool.openedCount() } };
+    auto leftOut = nlohmann::json::array();
+    const auto now = EventLoop::now();
+    for (const auto& entry : this->availability.entries(now)) {
+        const auto left = entry.until ? nlohmann::json(std::chrono::ceil<std::chrono::milliseconds>(*entry.until - now).count()) : nlohmann::json();
+        leftOut.push_back({ { "backend", entry.id }, { "reason", nameOf(entry.reason) }, { "left_ms", left } });
+    }
+    return { { "running", std::move(running) }, { "servers_left_out", std::move(leftOut) }, { "connections_opened", this->pool.openedCount() } };
 }
 
 } // namespace Primrosefork
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -9,6 +9,7 @@
 #include "gatewaysettings.h"
 #include "quotacontroller.h"
 #include "runmover.h"
+#include "serveravailability.h"
 #include "serverindex.h"
 #include "statesource.h"
 #include "wallclock.h"
@@ -67,6 +68,9 @@
     auto chooseServer(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> const BackendServer* override;
     auto tryAcquireAttempt(const std::string& service, EventLoop::TimePoint now) -> bool override;
     auto serverMoved(const std::string& id) -> void override;
+    auto replyReceived(const BackendServer&, const ReplyFields&) -> void override;
+    [[nodiscard]] auto mayResumeCopy(const BackendServer&, EventLoop::TimePoint now) const -> bool override;
+    auto logLeftOut(const std::string& id, UnavailableReason, std::optional<std::chrono::milliseconds> duration) -> void;
     [[nodiscard]] auto hasFreeConnection(const BackendServer&, const TrafficService&) const -> bool;
 
     EventLoop& loop;
@@ -85,11 +89,12 @@
     std::map<std::string, ServerIndex> serversByService; ///< Live servers, which may get new requests, by service.
     std::map<std::string, std::int64_t> streamEngines; ///< Number of engines that serve long streams, by service.
     std::map<std::string, std::int64_t> serverStartTimes; ///< Start time of each server as registered, by id, to detect a restart.
-    std::map<std::string, EventLoop::TimePoint> avoidedServers; ///< Servers at whose address another server answered, with the time until which they are not chosen.
+    ServerAvailability availability; ///< Which of the live servers get no requests, by their own answers.
     std::map<std::string, std::int64_t> readTokens; ///< Prompt tokens that engines had to read since the last report, by service.
     std::map<std::string, double> readTokensPerSecond; ///< Smoothed rate of these tokens, by service.
     std::map<std::uint64_t, std::unique_ptr<ForwardRun>> runs;
     Timer waitTimer;
+    Timer moveTimer; ///< Runs while requests run at servers that stated in an answer that they leave.
     std::minstd_rand random;
     std::uint64_t nextId = 1;
     std::size_t nodeCount;
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -35,6 +35,7 @@
     EventDescription { Event::ReclaimNoticed, Severity::Warning, "reclaimNoticed" },
     EventDescription { Event::RegistrationUnreadable, Severity::Warning, "registrationUnreadable" },
     EventDescription { Event::RegistrationLapsed, Severity::Warning, "registrationLapsed" },
+    EventDescription { Event::BackendLeftOut, Severity::Info, "backendLeftOut" },
     EventDescription { Event::AttemptFailed, Severity::Warning, "attemptFailed" },
     EventDescription { Event::AnswerCutOff, Severity::Error, "answerCutOff" },
     EventDescription { Event::StreamMoved, Severity::Info, "streamMoved" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -45,6 +45,7 @@
     ReclaimNoticed = 3104,
     RegistrationUnreadable = 3105,
     RegistrationLapsed = 3106,
+    BackendLeftOut = 3107,
     AttemptFailed = 4001,
     AnswerCutOff = 4002,
     StreamMoved = 4003,
--- a/src/systems/headercodec.h
+++ b/src/systems/headercodec.h
@@ -42,6 +42,7 @@
     bool isNotRun = false; ///< Whether the server states that it did not run the request.
     bool isMisdirected = false; ///< Whether the address belongs to another server now, which did not run the request.
     std::optional<ObservedLoad> load; ///< Load of the server at the time of the answer.
+    bool isServerLeaving = false; ///< Whether the server states that it leaves. Values that are not defined state nothing.
 };
 
 /**
--- a/tests/platform/test_headers.cpp
+++ b/tests/platform/test_headers.cpp
@@ -116,6 +116,32 @@
     }
 }
 
+struct LeavingCase {
+    const char* name;
+    HttpHeaders headers;
+    bool isServerLeaving;
+};
+
+const LeavingCase leavingCases[] = {
+    { "no header", {}, false },
+    { "the defined value", { { "Server-Leaving", "1" } }, true },
+    { "a name in lower case", { { "server-leaving", "1" } }, true },
+    { "zero", { { "Server-Leaving", "0" } }, false },
+    { "text", { { "Server-Leaving", "yes" } }, false },
+    { "an empty value", { { "Server-Leaving", "" } }, false },
+    { "a longer number", { { "Server-Leaving", "10" } }, false },
+    { "the defined value in one of two headers", { { "Server-Leaving", "0" }, { "Server-Leaving", "1" } }, true },
+};
+
+TEST_CASE("a server leaves when one of its headers has the defined value, whatever the status")
+{
+    for (const auto& row : leavingCases) {
+        CAPTURE(row.name);
+        for (const auto status : { 200, 421, 429, 500, 503 })
+            CHECK(PlatformHeaders().readReply(status, row.headers).isServerLeaving == row.isServerLeaving);
+    }
+}
+
 TEST_CASE("the load of a server is decoded, and ignored when it is incomplete")
 {
     const auto reply = PlatformHeaders().readReply(200, { { "X-Instance-Load", "3,1,8,250" } });
