Forwarding: Kept pauses that servers ask for

Callers' requests went on reaching a server that had turned requests away with 503 and `Retry-After`, as the node did not read that header from servers, and a caller refused for it was told to come back after 0.3 s.

A 503 with `Retry-After` takes the server from the candidates at once for that time (the longest of several values; unreadable ones, ones that are not finite and ones not above zero ask for none; at most 60 s). When all servers of a service that do not leave are paused, requests are refused before a quota is charged, and those that wait are refused at once, with the time left and up to half of it more by chance (0.1 to 1 s). Calls to the server whose connection is not established yet are taken back and go elsewhere, since they could reach it after the first half second. Retry-After values of the node are rounded up now: cut to hundredths they were up to 10 ms too early.

Ruled out: waiting for the end of a short pause within the wait for a server, since all those that wait would be sent at one moment. Moves (`kv-move`) go to servers that leave anyway; what their answers state is not read.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -181,6 +181,12 @@
     this->release(false);
 }
 
+auto BackendConnection::failUnconnected() -> void
+{
+    if (this->isBusy && !this->isConnected && !this->hasSentBytes())
+        this->connectionEnded(false);
+}
+
 auto BackendConnection::pauseReading() -> void
 {
     bufferevent_disable(this->stream, EV_READ);
--- a/src/forwarding/backendconnection.h
+++ b/src/forwarding/backendconnection.h
@@ -59,6 +59,9 @@
     /** Ends the current call by closing the connection. No handler of the call is called afterwards. */
     auto cancel() -> void;
 
+    /** Ends the current call as not sent if the connection is not established yet. */
+    auto failUnconnected() -> void;
+
     auto pauseReading() -> void;
     auto resumeReading() -> void;
 
--- a/src/forwarding/backendpool.cpp
+++ b/src/forwarding/backendpool.cpp
@@ -110,6 +110,19 @@
     return found == this->connectionsByServer.end() ? 0 : found->second.all.size();
 }
 
+auto BackendPool::failUnconnected(const std::string& id) -> void
+{
+    const auto found = this->connectionsByServer.find(id);
+    if (found == this->connectionsByServer.end())
+        return;
+    // Copied first, because the end of a call removes its connection.
+    std::vector<BackendConnection*> connections;
+    for (const auto& [connection, owner] : found->second.all)
+        connections.push_back(connection);
+    for (auto* connection : connections)
+        connection->failUnconnected();
+}
+
 auto BackendPool::dropIdle(const std::string& id) -> void
 {
     const auto found = this->connectionsByServer.find(id);
--- a/src/forwarding/backendpool.h
+++ b/src/forwarding/backendpool.h
@@ -43,6 +43,9 @@
     /** Returns the number of connections opened since the start of the node. */
     [[nodiscard]] auto openedCount() const -> std::uint64_t { return this->opened; }
 
+    /** Ends the calls to the server \a id whose connections are not established yet, as not sent. */
+    auto failUnconnected(const std::string& id) -> void;
+
     /** Closes the idle connections to the server \a id. */
     auto dropIdle(const std::string& id) -> void;
 
--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -32,6 +33,9 @@
     /** Reports what \a server stated about itself in the head of an answer with \a reply. */
     virtual auto replyReceived(const BackendServer& server, const ReplyFields& reply) -> void = 0;
 
+    /** Returns the time after which callers may try again, different for each, when all servers of \a service are paused; otherwise nothing. */
+    virtual auto pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> = 0;
+
     /** Returns whether a run may continue at \a server from its copy there. */
     [[nodiscard]] virtual auto mayResumeCopy(const BackendServer& server, EventLoop::TimePoint now) const -> bool = 0;
 };
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -87,7 +87,7 @@
     const auto now = EventLoop::now();
     if (const auto* server = this->context.servers.chooseServer(this->details, this->excluded, now))
         return this->send(*server);
-    if (!this->excluded.empty())
+    if (!this->excluded.empty() || this->context.servers.pauseLeft(this->details.service->name, now))
         return this->giveUp();
     const auto objective = this->details.route->objective;
     const auto maxWait = objective > 0ms ? objective / serverWaitDivisor : defaultServerWait;
@@ -385,7 +385,8 @@
 
 auto ForwardRun::refuse(const char* reason) -> void
 {
-    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(retryAfter) } }, "");
+    const auto wait = this->context.servers.pauseLeft(this->details.service->name, EventLoop::now()).value_or(retryAfter);
+    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(wait) } }, "");
     this->recordOutcome(HttpStatus::unavailable, reason);
     this->finish();
 }
--- a/src/forwarding/hopheaders.cpp
+++ b/src/forwarding/hopheaders.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <http_parser.h>
 #include <strings.h>
 #include <vector>
@@ -53,8 +54,10 @@
 
 auto retryAfterValue(std::chrono::milliseconds wait) -> std::string
 {
-    auto text = std::to_string(std::chrono::duration<double>(wait).count());
-    return text.substr(0, text.find('.') + 3);
+    using Hundredths = std::chrono::duration<std::int64_t, std::centi>;
+    const auto hundredths = std::chrono::ceil<Hundredths>(wait).count();
+    const auto fraction = std::to_string(hundredths % Hundredths::period::den);
+    return std::to_string(hundredths / Hundredths::period::den) + (fraction.size() < 2 ? ".0" : ".") + fraction;
 }
 
 auto statusLine(int status) -> std::string
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds moveCheckPeriod = 100ms; ///< Period at which runs are tried to be moved; a run can be moved only after its first event.
 constexpr std::chrono::milliseconds freshnessMargin = 150ms; ///< Allowance for clock drift and for requests that wait to be read.
 constexpr std::chrono::milliseconds notReadyRetryDelay = 500ms; ///< Retry-After for callers while the node has no configuration, a stale one, or no service for the route.
+constexpr std::chrono::milliseconds minRetrySpread = 100ms; ///< Shortest range over which callers return after a pause of all servers; otherwise half of the time left.
+constexpr std::chrono::milliseconds maxRetrySpread = 1s; ///< Longest such range.
 constexpr double connectionPart = 0.8; ///< Fraction of the connections accepted by a server that all nodes together open.
 constexpr std::int64_t minConnections = 4; ///< Connections that a node may open to each server, however many nodes there are.
 constexpr double loadSmoothing = 0.12; ///< Weight of the newest report: engines are ordered by a mean over several seconds.
@@ -125,6 +127,8 @@
         serviceFor(*request.route, static_cast<double>(this->random() - std::minstd_rand::min()) / static_cast<double>(std::minstd_rand::max())));
     if (!request.service)
         return Refusal { HttpStatus::unavailable, "no_service", notReadyRetryDelay };
+    if (const auto wait = this->pauseLeft(request.service->name, EventLoop::now()))
+        return Refusal { HttpStatus::unavailable, "servers_paused", wait };
     auto left = request.fields.deadline.value_or(defaultDeadline);
     if (request.route->timeout > 0ms)
         left = std::min(left, request.route->timeout);
@@ -323,6 +327,25 @@
         this->logLeftOut(server.id, UnavailableReason::Leaving, {});
         this->moveTimer.start(0ms);
     }
+    if (!reply.retryAfter)
+        return;
+    if (this->availability.pauseRequested(server, *reply.retryAfter, EventLoop::now()))
+        this->logLeftOut(server.id, UnavailableReason::Paused, std::min(*reply.retryAfter, ServerAvailability::maxPause));
+    // From the event loop, because other runs choose other servers then.
+    this->loop.post([this, id = server.id] { this->pool.failUnconnected(id); });
+}
+
+auto ForwardController::pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds>
+{
+    const auto found = this->serversByService.find(service);
+    if (found == this->serversByService.end())
+        return std::nullopt;
+    const auto next = this->availability.nextAvailable(found->second.servers(), now);
+    if (!next)
+        return std::nullopt;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*next - now);
+    const auto spread = std::clamp(left / 2, minRetrySpread, maxRetrySpread);
+    return left + std::chrono::milliseconds(this->random() % static_cast<std::minstd_rand::result_type>(spread.count() + 1));
 }
 
 auto ForwardController::mayResumeCopy(const BackendServer& server, EventLoop::TimePoint now) const -> bool
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -69,6 +69,7 @@
     auto tryAcquireAttempt(const std::string& service, EventLoop::TimePoint now) -> bool override;
     auto serverMoved(const std::string& id) -> void override;
     auto replyReceived(const BackendServer&, const ReplyFields&) -> void override;
+    auto pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> override;
     [[nodiscard]] auto mayResumeCopy(const BackendServer&, EventLoop::TimePoint now) const -> bool override;
     auto logLeftOut(const std::string& id, UnavailableReason, std::optional<std::chrono::milliseconds> duration) -> void;
     [[nodiscard]] auto hasFreeConnection(const BackendServer&, const TrafficService&) const -> bool;
--- a/src/systems/headercodec.h
+++ b/src/systems/headercodec.h
@@ -43,6 +43,7 @@
     bool isMisdirected = false; ///< Whether the address belongs to another server now, which did not run the request.
     std::optional<ObservedLoad> load; ///< Load of the server at the time of the answer.
     bool isServerLeaving = false; ///< Whether the server states that it leaves. Values that are not defined state nothing.
+    std::optional<std::chrono::milliseconds> retryAfter; ///< Time, above zero, for which the server wants no requests, in a 503: the longest readable one. Values that are no number, not finite or not above zero ask for none.
 };
 
 /**
--- a/tests/forwarding/test_hopheaders.cpp
+++ b/tests/forwarding/test_hopheaders.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace Primrosefork;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -34,4 +35,28 @@
     }
 }
 
+struct RetryAfterCase {
+    std::chrono::milliseconds wait;
+    const char* value;
+};
+
+const RetryAfterCase retryAfterCases[] = {
+    { 0ms, "0.00" },
+    { 1ms, "0.01" },
+    { 50ms, "0.05" },
+    { 300ms, "0.30" },
+    { 1'990ms, "1.99" },
+    { 1'991ms, "2.00" },
+    { 61'234ms, "61.24" },
+};
+
+// A truncated value brought callers back before the time.
+TEST_CASE("a Retry-After header is never earlier than the time it states")
+{
+    for (const auto& row : retryAfterCases) {
+        CAPTURE(row.value);
+        CHECK(retryAfterValue(row.wait) == row.value);
+    }
+}
+
 } // namespace
--- a/tests/gateway/test_serverannouncements.cpp
+++ b/tests/gateway/test_serverannouncements.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
@@ -145,6 +146,16 @@
     }
 }
 
+TEST_CASE("an answer by another server at the address leaves out the server that was asked for a second only")
+{
+    AnnouncementFixture fixture(onceThenSucceeds(answers(421, std::string(leaving) + "Retry-After: 5\r\n")));
+    CHECK(statusOf(fixture.send()) == 503);
+    CHECK(statusOf(fixture.send()) == 503);
+    CHECK(fixture.firstServer.requests.size() == 1);
+    fixture.runFor(1'100ms);
+    CHECK(statusOf(fixture.send()) == 200);
+}
+
 auto streamHead(const std::string& request, const std::string& more) -> std::string
 {
     return "HTTP/1.1 200 X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n" + more
@@ -262,6 +273,28 @@
     CHECK(fixture.firstServer.requests.size() == requestsBefore);
 }
 
+TEST_CASE("the state dump lists the servers that are left out, with the reason and the time left")
+{
+    AnnouncementFixture fixture(answers(503, std::string(notRun) + "Retry-After: 2\r\n"));
+    fixture.addSecondServer(answers(200, leaving));
+    static_cast<void>(fixture.send());
+    static_cast<void>(fixture.send());
+    CHECK(statusOf(fixture.send()) == 503);
+    nlohmann::json state;
+    fixture.client.fetch(fixture.settings.operators, { "GET", "/state", "", {}, "" }, {},
+        [&state](std::error_code, const HttpResponse& response) { state = nlohmann::json::parse(response.body, nullptr, false); });
+    REQUIRE(fixture.runUntil([&] { return state.is_object(); }));
+    const auto& list = state["requests"]["servers_left_out"];
+    REQUIRE(list.size() == 2);
+    CHECK(list[0]["backend"] == "i-1");
+    CHECK(list[0]["reason"] == "paused");
+    CHECK(list[0]["left_ms"] > 1'000);
+    CHECK(list[0]["left_ms"] <= 2'000);
+    CHECK(list[1]["backend"] == "i-2");
+    CHECK(list[1]["reason"] == "leaving");
+    CHECK(list[1]["left_ms"].is_null());
+}
+
 struct PauseCase {
     const char* name;
     int status;
--- a/tests/platform/test_headers.cpp
+++ b/tests/platform/test_headers.cpp
@@ -142,6 +142,40 @@
     }
 }
 
+struct PauseCase {
+    const char* name;
+    int status;
+    HttpHeaders headers;
+    std::optional<std::chrono::milliseconds> pause;
+};
+
+const PauseCase pauseCases[] = {
+    { "no header", 503, {}, {} },
+    { "a whole number", 503, { { "Retry-After", "2" } }, 2s },
+    { "a fraction, rounded up", 503, { { "retry-after", "0.2501" } }, 251ms },
+    { "the longest of several headers", 503, { { "Retry-After", "1" }, { "Retry-After", "3" }, { "Retry-After", "2" } }, 3s },
+    { "an unreadable header beside another one", 503, { { "Retry-After", "soon" }, { "Retry-After", "2" } }, 2s },
+    { "a huge number", 503, { { "Retry-After", "1e99" } }, 24h },
+    { "a number beyond the range", 503, { { "Retry-After", "1e999" } }, {} },
+    { "zero", 503, { { "Retry-After", "0" } }, {} },
+    { "a negative number", 503, { { "Retry-After", "-5" } }, {} },
+    { "not a number", 503, { { "Retry-After", "nan" } }, {} },
+    { "infinity", 503, { { "Retry-After", "inf" } }, {} },
+    { "text", 503, { { "Retry-After", "soon" } }, {} },
+    { "a number with a unit", 503, { { "Retry-After", "2s" } }, {} },
+    { "an empty value", 503, { { "Retry-After", "" } }, {} },
+    { "another refusal", 429, { { "Retry-After", "2" } }, {} },
+    { "a success", 200, { { "Retry-After", "2" } }, {} },
+};
+
+TEST_CASE("a pause is read from a 503 only, and unreadable values ask for none")
+{
+    for (const auto& row : pauseCases) {
+        CAPTURE(row.name);
+        CHECK(PlatformHeaders().readReply(row.status, row.headers).retryAfter == row.pause);
+    }
+}
+
 TEST_CASE("the load of a server is decoded, and ignored when it is incomplete")
 {
     const auto reply = PlatformHeaders().readReply(200, { { "X-Instance-Load", "3,1,8,250" } });
