--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -87,7 +87,7 @@
     const auto now = EventLoop::now();
     if (const auto* server = this->context.servers.chooseServer(this->details, this->excluded, now))
         return this->send(*server);
-    if (!this->excluded.empty())
+    if (!this->excluded.empty() || this->context.servers.pauseLeft(this->details.service->name, now))
         return this->giveUp();
     const auto objective = this->details.route->objective;
     const auto maxWait = objective > 0ms ? objective / serverWaitDivisor : defaultServerWait;
@@ -163,6 +163,7 @@
     current.isEventStream = head.status == HttpStatus::ok && isEventStream(head.headers);
     if (reply.load)
         this->context.policy.loadObserved(current.server, *reply.load, EventLoop::now());
+    this->context.servers.replyReceived(current.server, reply);
     if (!reply.isNotRun && !current.isEventStream)
         this->reportStart(millisecondsSince(current.sent));
 }
@@ -341,7 +342,8 @@
 
 auto ForwardRun::resumeFromCopy() -> bool
 {
-    if (this->details.deadline - EventLoop::now() < minRemainingTime)
+    const auto now = EventLoop::now();
+    if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now))
         return false;
     this->endAttempt(AttemptEnd::Cancelled);
     const auto server = *this->destination;
@@ -383,7 +385,8 @@
 
 auto ForwardRun::refuse(const char* reason) -> void
 {
-    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(retryAfter) } }, "");
+    const auto wait = this->context.servers.pauseLeft(this->details.service->name, EventLoop::now()).value_or(retryAfter);
+    this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(wait) } }, "");
     this->recordOutcome(HttpStatus::unavailable, reason);
     this->finish();
 }
