--- a/src/traffic/serveravailability.h
+++ b/src/traffic/serveravailability.h
@@ -36,7 +36,7 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    static constexpr std::chrono::milliseconds maxPause { 60'000 };
+    static constexpr std::chrono::milliseconds maxPause { 600'000 };
     static constexpr std::chrono::milliseconds addressTakenTime { 1'000 }; ///< Time until the registry shows which server is at the address.
     static constexpr std::chrono::milliseconds retentionTime { 60'000 }; ///< Time for which a statement is kept without a registration, which may lapse and come back while the server runs.
 
