Test: Added a fleet whose nodes the store turns away one by one

While the store turned observers or the leader away, nodes went on using servers that had left for longer than the drain bound. Nothing in the tests could turn single nodes away, so nothing showed it.

StoreFollower moved unchanged from test_relay.cpp to a header.

--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -1,7 +1,5 @@
 #include "gatewayfixture.h"
-#include "registrycontroller.h"
-#include "relaycontroller.h"
-#include "trafficcontroller.h"
+#include "storefollower.h"
 
 #include <doctest/doctest.h>
 
@@ -16,47 +14,6 @@
 const Address ownStoreAddress { "127.0.0.1", 18303 };
 const Address unusedFleetAddress { "127.0.0.1", 18304 };
 
-/** The controllers of one node that follow the store. */
-struct Follower {
-    Follower(EventLoop& loop, HttpClient& client, GatewaySettings nodeSettings)
-        : settings(std::move(nodeSettings))
-        , systems(makePlatformSystems(client, settings))
-        , traffic(loop, *systems.store, *systems.documents, settings.bounds, board, metrics, log)
-        , registry(loop, *systems.store, *systems.documents, settings.bounds, board, log)
-        , leadership(loop, *systems.store, settings, board, log)
-        , relay(loop, settings, board, { &traffic.storeWatcher(), &registry.storeWatcher(), &leadership.storeWatcher() }, metrics, log)
-        , observers(board.observers.acquireWriter("test"))
-    {
-        this->relay.configurationConfirmed.connect([this](StoreRevision newest, BootClock::time_point moment) { this->traffic.peerConfirmed(newest, moment); });
-        this->traffic.begin();
-        this->registry.begin();
-        this->systems.store->list("primrosefork/", [this, requestedAt = BootClock::now()](std::error_code error, const StoreListing& listing) {
-            REQUIRE_FALSE(error);
-            this->leadership.beginWith(listing, requestedAt);
-        });
-        this->relay.begin();
-    }
-
-    [[nodiscard]] auto version() const -> std::uint64_t
-    {
-        const auto& table = this->board.traffic.value().table;
-        return table ? table->configuration().version : 0;
-    }
-
-    [[nodiscard]] auto lists(const std::string& id) const -> bool { return this->board.backendServers.value().contains(id); }
-
-    GatewaySettings settings;
-    GatewaySystems systems;
-    GatewayBoard board;
-    Metrics metrics;
-    EventLog log { "error" };
-    TrafficController traffic;
-    RegistryController registry;
-    LeadershipController leadership;
-    RelayController relay;
-    SectionWriter<Observers> observers;
-};
-
 /**
  * An observer and a node that follows it. Each has a store of its own, so that a
  * change in the observer's store reaches the node only by way of the observer.
@@ -105,8 +62,8 @@
     }
 
     StoreStandIn ownStore { loop, ownStoreAddress, unusedFleetAddress };
-    Follower observer { loop, client, settings };
-    Follower node { loop, client, settingsOf("node-2", ownStoreAddress) };
+    StoreFollower observer { loop, client, settings };
+    StoreFollower node { loop, client, settingsOf("node-2", ownStoreAddress) };
     std::map<Address, int> requests; ///< Requests of the node, by observer.
     std::vector<RelayReply> replies;
     bool isSilent = false; ///< No reply reaches the node.
@@ -239,7 +196,7 @@
     // Writes elsewhere in the store put the listing of the late node after that of the others.
     fixture.platform.put("op/other", "x");
     fixture.platform.put("op/other", "y");
-    Follower late { fixture.loop, fixture.client, fixture.settings };
+    StoreFollower late { fixture.loop, fixture.client, fixture.settings };
     REQUIRE(fixture.runUntil([&] { return late.version() == 1 && late.lists("i-1"); }));
     const auto& registry = fixture.node.relay.watcher(RelayTopic::Registry);
     const RelayRequest request { 1, { 0, registry.newestRevision(), 0 }, { 0, registry.changes().digest(), 0 } };
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 StoreStandIn::StoreStandIn(EventLoop& loop, const Address& storeAddress, const Address& fleetAddress)
-    : store(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
+    : loop(loop)
+    , store(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) { this->handle(exchange); })
     , fleet(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
         const auto& request = exchange->request();
         this->fleetCalls.push_back({ request.path, request.headers.get("X-Duty-Holder").value_or(""), request.headers.get("X-Fence-Token").value_or(""), request.body });
@@ -82,7 +83,42 @@
     this->items[key] = { encoded, ++this->revision, lease, isDeleted };
 }
 
-auto StoreStandIn::handle(const std::shared_ptr<HttpExchange>& exchange) -> void
+auto StoreStandIn::addEntrance(const Address& address) -> void
+{
+    auto& entrance = this->entrances[address];
+    entrance.server = std::make_unique<HttpServer>(this->loop, HttpServerOptions {}, [this, address](const std::shared_ptr<HttpExchange>& exchange) { this->handleAt(address, exchange); });
+    static_cast<void>(entrance.server->listen(address));
+}
+
+auto StoreStandIn::treat(const Address& address, Treatment treatment) -> void
+{
+    this->entrances.at(address).treatment = treatment;
+    if (treatment == Treatment::Served)
+        return;
+    for (auto watch = this->watches.begin(); watch != this->watches.end();) {
+        const auto place = watch++;
+        if (place->entrance != address)
+            continue;
+        if (treatment == Treatment::Refused)
+            answer(*place->exchange, HttpStatus::unavailable, Json::object());
+        else
+            this->ignoredCalls.push_back(place->exchange);
+        this->watches.erase(place);
+    }
+}
+
+auto StoreStandIn::handleAt(const Address& address, const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    auto& entrance = this->entrances.at(address);
+    ++entrance.calls;
+    if (entrance.treatment == Treatment::Served)
+        return this->handle(exchange, address);
+    if (entrance.treatment == Treatment::Ignored)
+        return this->ignoredCalls.push_back(exchange);
+    answer(*exchange, HttpStatus::unavailable, Json::object());
+}
+
+auto StoreStandIn::handle(const std::shared_ptr<HttpExchange>& exchange, const Address& entrance) -> void
 {
     const auto& request = exchange->request();
     ++this->calls;
@@ -109,7 +145,7 @@
         if (after < this->oldestRevision)
             return answer(*exchange, 410, Json::object());
         const std::chrono::milliseconds wait(std::strtoll(request.queryValue("wait-ms").value_or("0").c_str(), nullptr, 10));
-        this->watches.push_back({ request.queryValue("prefix").value_or(""), after, EventLoop::now() + wait, exchange });
+        this->watches.push_back({ request.queryValue("prefix").value_or(""), after, EventLoop::now() + wait, exchange, entrance });
         return this->answerWatches();
     }
     answer(*exchange, HttpStatus::notFound, Json::object());
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Primrosefork::Testkit {
 
@@ -32,6 +33,22 @@
     /** Deletes all keys that are bound to a lease, as happens when leases expire in a long outage. */
     auto expireLeases() -> void;
 
+    /** Listens at \a address, too, where one node reaches the store, so that the node can be turned away. */
+    auto addEntrance(const Address& address) -> void;
+
+    /** How calls that arrive at one entrance are treated. */
+    enum class Treatment : std::uint8_t {
+        Served,
+        Refused, ///< Calls get status 503, waiting watches too.
+        Ignored, ///< Calls get no answer, waiting watches neither.
+    };
+
+    /** Treats the calls at the entrance \a address as \a treatment says from now on. */
+    auto treat(const Address& address, Treatment treatment) -> void;
+
+    /** Returns the number of calls that arrived at the entrance \a address. */
+    [[nodiscard]] auto callsAt(const Address& address) const -> int { return this->entrances.at(address).calls; }
+
     /** Status that the store answers every call with; 0 for normal operation. */
     int failureStatus = 0;
 
@@ -79,16 +96,27 @@
         std::uint64_t after = 0;
         EventLoop::TimePoint waitsUntil;
         std::shared_ptr<HttpExchange> exchange;
+        Address entrance; ///< Entrance at which it arrived; empty for the store's own address.
+    };
+
+    struct Entrance {
+        std::unique_ptr<HttpServer> server;
+        Treatment treatment = Treatment::Served;
+        int calls = 0;
     };
 
-    auto handle(const std::shared_ptr<HttpExchange>&) -> void;
+    auto handleAt(const Address& entrance, const std::shared_ptr<HttpExchange>&) -> void;
+    auto handle(const std::shared_ptr<HttpExchange>&, const Address& entrance = {}) -> void;
     auto range(HttpExchange&) -> void;
     auto transact(const std::shared_ptr<HttpExchange>&) -> void;
     auto write(const std::string& key, const std::string& encoded, std::uint64_t lease, bool isDeleted) -> void;
     auto answerWatches() -> void;
 
+    EventLoop& loop;
     HttpServer store;
     HttpServer fleet;
+    std::map<Address, Entrance> entrances;
+    std::vector<std::shared_ptr<HttpExchange>> ignoredCalls; ///< Calls that are never answered; their connections stay open.
     Timer watchTimer;
     std::map<std::string, Item> items;
     std::list<Watch> watches;
