Gateway: The leader's word on the registry ages from the report that it answers

A node counted the leader's knowledge of the registry from the moment at which the answer was read, less the age in it. An answer that waited in the socket of a suspended or busy node, or on the network, thus passed for fresher than it was. Cause: only the configuration's age was counted from the report, and only for an answer to the last one.

Both ages now count from the time at which the report that is answered was sent, which is remembered for the last eight reports; an answer to an older one confirms nothing. Left as it is: LeadershipController counts the leader's answer from its arrival.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -29,6 +29,7 @@
 constexpr auto reportRetention = 30s; ///< Time for which a node's last report is kept, because its usage counts may still be due.
 constexpr auto observerGatherTime = 700ms; ///< Time in which each node reports to a new leader once, before the leader chooses observers.
 constexpr auto observerTimeout = 1'600ms; ///< Time after its last report, three report periods long, at which an observer is replaced.
+constexpr std::size_t keptReports = 8; ///< Reports to which the leader's answers still confirm what it knows.
 constexpr std::size_t keptWindows = 6; ///< Accounting windows of a node that are kept; older ones are no longer due.
 constexpr double minReportedDemand = 0.01; ///< Units per second below which a workspace's demand is left out of the report.
 constexpr double minEqualPart = 0.2; ///< Smallest part of a quota that is divided equally, for nodes whose demand is new.
@@ -195,9 +196,11 @@
     }
     if (!leadership.hasCoordinator(BootClock::now()))
         return;
-    this->lastReportSequence = this->sequence + 1;
-    this->lastReportTime = BootClock::now();
-    message.report->windows = this->unconfirmedWindows.select(std::move(message.report->windows), this->lastReportSequence);
+    const auto reportSequence = this->sequence + 1;
+    this->reportTimes[reportSequence] = BootClock::now();
+    if (this->reportTimes.size() > keptReports)
+        this->reportTimes.erase(this->reportTimes.begin());
+    message.report->windows = this->unconfirmedWindows.select(std::move(message.report->windows), reportSequence);
     this->send(leadership.coordinatorAddress, std::move(message));
 }
 
@@ -379,12 +382,13 @@
 
 auto CoordinationController::applyAnswer(const FleetAnswer& answer) -> void
 {
-    // The leader computes the age after this node has sent its report, so the difference is not later than
-    // the time at which the leader requested its read.
-    if (answer.reportSequence != 0 && answer.reportSequence == this->lastReportSequence && answer.configurationRevision != 0)
-        this->configurationConfirmed.emit(answer.configurationRevision, this->lastReportTime - answer.configurationAge);
+    // The leader computes the ages after this node has sent its report, so the differences are not later than
+    // the times at which the leader's knowledge was confirmed.
+    const auto report = this->reportTimes.find(answer.reportSequence);
+    if (report != this->reportTimes.end() && answer.configurationRevision != 0)
+        this->configurationConfirmed.emit(answer.configurationRevision, report->second - answer.configurationAge);
     if (answer.reportSequence != 0) {
-        this->leaderAnswered.emit(answer.registryRevision, BootClock::now() - answer.registryAge, answer.term);
+        this->leaderAnswered.emit(answer.registryRevision, report != this->reportTimes.end() ? report->second - answer.registryAge : BootClock::time_point {}, answer.term);
         this->unconfirmedWindows.confirmed(answer.reportSequence);
         this->applyObservers(answer.observers);
     }
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -119,8 +119,7 @@
     std::vector<StreamEngines> streamEngines; ///< Result of the last partition, which goes into the answers.
     std::uint64_t session; ///< Random number that identifies this process.
     std::uint32_t sequence; ///< Sequence number of the last message sent.
-    std::uint32_t lastReportSequence = 0; ///< Sequence number of the last report sent to the leader; 0 before the first one.
-    BootClock::time_point lastReportTime; ///< Time at which that report was sent.
+    std::map<std::uint32_t, BootClock::time_point> reportTimes; ///< Times at which the last reports were sent to the leader, by sequence number.
     std::size_t recordedNodeCount = 0; ///< Number of nodes in the store's record, as last read or written.
     StoreRevision nodeCountRevision = 0; ///< Revision of that record; 0 when there is none.
     std::size_t pendingNodeCount = 0; ///< Number of live nodes as of the last check; recorded once it has been stable.
