Gateway: An observer that the store turns away follows the other observers

A watch that waited after a failure moreover counted as failing until a change came.

Ruled out: the watch that hangs (event 3004) and silent observers (3006: none at these nodes).

Change: an observer, or the leader, whose calls fail, whose knowledge is older than 0.75 of the bound, or which lacks a change that the leader has seen, asks the other observers beside its own calls until the store serves it. Its replies say so, and whoever asks it turns to the next one. A node told of a change that it still lacks after an eighth of the bound turns to the next observer, too, before it watches the store itself. The store counts as away only when no other node's word is younger than the first failure, and a registration is kept from the last confirmation before its removal, or from the store's return. After a failure the watch waits briefly, so that the end is noticed. Changes that arrive both ways are applied once; a reply with more to come confirms nothing yet.

--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -224,7 +224,7 @@
 template <typename Archive>
 static auto serialize(Archive& archive, RelayReply& value) -> void
 {
-    archive(value.number, value.configurationRevision, value.configurationAge);
+    archive(value.number, value.configurationRevision, value.configurationAge, value.isFollowing);
     serializeList(archive, value.parts);
 }
 
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -117,7 +117,7 @@
     StoreRevision upTo = 0; ///< Revision up to which the entries are complete.
     bool hasMore = false; ///< Whether the observer knows later changes that did not fit.
     std::chrono::milliseconds age { 0 }; ///< Time since the observer's knowledge was confirmed to be complete.
-    std::optional<std::chrono::milliseconds> sinceRecovery; ///< Time since the store answered the observer again after failures; 0 while it fails.
+    std::optional<std::chrono::milliseconds> sinceRecovery; ///< Time since the store answered again after an outage, as far as the observer knows of one; 0 while the store is away for all nodes.
 };
 
 /** An observer's reply to a request for changes, or a part of it. */
@@ -125,6 +125,7 @@
     std::uint32_t number = 0; ///< Number of the request.
     StoreRevision configurationRevision = 0; ///< Revision of the configuration that the observer applies; 0 when it has none.
     std::chrono::milliseconds configurationAge { 0 }; ///< Time since that was known to be the newest.
+    bool isFollowing = false; ///< Whether the observer follows another one at present, because the store does not serve it.
     std::vector<RelayPart> parts; ///< Topics whose changes after the node's position the observer does not know are left out.
 };
 
--- a/src/gateway/registrycontroller.cpp
+++ b/src/gateway/registrycontroller.cpp
@@ -17,6 +17,7 @@
 constexpr int batchDelayDivisor = 8; ///< Changes are batched for the drain time divided by this.
 constexpr int stallTimeoutDivisor = 2; ///< The watch is restarted when it is not confirmed as up to date within the drain time divided by this.
 constexpr auto retentionCheckPeriod = 100ms;
+constexpr std::chrono::milliseconds minKnowledgeGap = 1s; ///< A registration does not expire in a shorter time without the store.
 
 } // namespace
 
@@ -40,7 +41,17 @@
 
 auto RegistryController::wasStoreUnavailable() const -> bool
 {
-    return this->watcher.isFailing() || BootClock::now() - this->watcher.recoveryTime() < storeRecoveryTime;
+    const auto now = BootClock::now();
+    return this->watcher.isStoreAway(now) || now - this->watcher.recoveryTime() < storeRecoveryTime;
+}
+
+auto RegistryController::retentionEnd() const -> BootClock::time_point
+{
+    // Counted from the earliest time at which the registration can have been removed while the store answered, since
+    // the change may have reached this node late.
+    const auto known = this->watcher.earlierConfirmation();
+    const auto recovered = this->watcher.recoveryTime();
+    return (recovered - known >= minKnowledgeGap ? recovered : known) + this->retentionTime;
 }
 
 auto RegistryController::listed(const StoreListing& listing) -> void
@@ -93,12 +104,13 @@
     if (!isListed)
         return;
     const auto& server = changed == changes.end() ? found->second : *changed->second;
-    const auto mayReturn = this->wasStoreUnavailable() && server.state == InstanceState::Live;
+    const auto keptUntil = this->retentionEnd();
+    const auto mayReturn = this->wasStoreUnavailable() && server.state == InstanceState::Live && keptUntil > BootClock::now();
     if (!mayReturn) {
         changes[id] = std::nullopt;
         return;
     }
-    if (this->retainedUntil.emplace(id, BootClock::now() + this->retentionTime).second)
+    if (this->retainedUntil.emplace(id, keptUntil).second)
         this->log.write(Event::RegistrationLapsed, { { "backend", id } });
     this->retentionTimer.start(retentionCheckPeriod);
 }
--- a/src/gateway/registrycontroller.h
+++ b/src/gateway/registrycontroller.h
@@ -45,11 +45,12 @@
     auto logChange(const std::string& id, const std::optional<BackendServer>& next) -> void;
     [[nodiscard]] auto idOf(const std::string& key) const -> std::string;
     [[nodiscard]] auto wasStoreUnavailable() const -> bool;
+    [[nodiscard]] auto retentionEnd() const -> BootClock::time_point;
 
     const TrafficDocuments& documents;
     const EventLog& log;
     SectionWriter<BackendServers> servers;
-    std::chrono::milliseconds retentionTime; ///< Time for which a server stays listed after its registration expired during an outage of the store.
+    std::chrono::milliseconds retentionTime; ///< Time for which a server stays listed after its registration may have expired during an outage of the store.
     std::map<std::string, BootClock::time_point> retainedUntil; ///< Servers that stay listed although their registration expired, by id, with the time until which they stay.
     Timer retentionTimer;
     StoreWatcher watcher;
--- a/src/gateway/relaycontroller.cpp
+++ b/src/gateway/relaycontroller.cpp
@@ -36,7 +36,9 @@
     , timer(loop, [this] { this->tick(); })
 {
     board.observers.changed.connect([this](const Observers& observers) {
-        this->preferred = observersByPreference(observers.addresses, this->settings.id);
+        auto others = observers.addresses;
+        std::erase(others, this->settings.peers);
+        this->preferred = observersByPreference(others, this->settings.id);
         this->selected = 0;
         this->isReplyPending = false;
         this->tick();
@@ -56,20 +58,37 @@
 {
     if (const auto present = this->board.isObserver(); present != this->isObserver)
         this->roleChanged(present);
-    if (this->isObserver || (this->isReplyPending && BootClock::now() - this->lastRequest < replyTimeout))
+    const auto now = BootClock::now();
+    if (this->preferred.empty() || !this->isFollowing(now)) {
+        this->isReplyPending = false;
+        return;
+    }
+    if (this->isReplyPending && now - this->lastRequest < replyTimeout)
         return;
     if (this->isReplyPending) {
         this->log.write(Event::ObserverSilent, { { "observer", this->preferred[this->selected].toString() } });
         this->selectNextObserver();
+    } else if (!this->isObserver && this->isBehind(now)) {
+        this->selectNextObserver();
     }
     this->sendRequest();
 }
 
+auto RelayController::isFollowing(BootClock::time_point now) const -> bool
+{
+    return !this->isObserver || std::any_of(this->watchers.begin(), this->watchers.end(), [now](const auto* watcher) { return watcher->needsRelay(now); });
+}
+
+auto RelayController::isBehind(BootClock::time_point now) const -> bool
+{
+    return std::any_of(this->watchers.begin(), this->watchers.end(), [now](const auto* watcher) { return watcher->isBehind(now); });
+}
+
 auto RelayController::roleChanged(bool present) -> void
 {
     this->isObserver = present;
     this->isReplyPending = false;
-    this->log.write(Event::ObserverRoleChanged, { { "observer", present ? "yes" : "no" }, { "observers", std::to_string(this->preferred.size()) } });
+    this->log.write(Event::ObserverRoleChanged, { { "observer", present ? "yes" : "no" }, { "observers", std::to_string(this->board.observers.value().addresses.size()) } });
     for (auto* watcher : this->watchers)
         watcher->setFollows(!present);
     this->updateExpectation();
@@ -78,7 +97,7 @@
 auto RelayController::updateExpectation() -> void
 {
     // A node that starts will hear of the observers with the leader's first answer, unless the fleet is known to be small.
-    const auto isStarting = this->preferred.empty() && !this->board.leadership.value().isOwn && this->board.fleetShare.value().nodes > observerCount;
+    const auto isStarting = this->board.observers.value().addresses.empty() && !this->board.leadership.value().isOwn && this->board.fleetShare.value().nodes > observerCount;
     const auto present = !this->isObserver || isStarting;
     if (present == std::exchange(this->expectsRelay, present))
         return;
@@ -127,7 +146,7 @@
     part.upTo = changes->upTo;
     part.hasMore = changes->upTo < watcher.newestRevision();
     part.age = ageAt(now, watcher.confirmedAt());
-    if (watcher.isFailing())
+    if (watcher.isStoreAway(now))
         part.sinceRecovery = 0ms;
     else if (watcher.recoveryTime() != BootClock::time_point {})
         part.sinceRecovery = ageAt(now, watcher.recoveryTime());
@@ -142,6 +161,7 @@
     const auto& traffic = this->board.traffic.value();
     reply.configurationRevision = traffic.revision;
     reply.configurationAge = ageAt(now, traffic.confirmed);
+    reply.isFollowing = this->isFollowing(now);
     std::vector<RelayReply> replies { reply };
     for (std::size_t topic = 0; topic < std::min({ request.positions.size(), request.digests.size(), this->watchers.size() }); ++topic) {
         auto part = this->partOf(static_cast<RelayTopic>(topic), request.positions[topic], request.digests[topic], now);
@@ -159,7 +179,7 @@
 auto RelayController::applyReply(const RelayReply& reply) -> void
 {
     const auto request = this->sentAt.find(reply.number);
-    if (request == this->sentAt.end() || this->isObserver)
+    if (request == this->sentAt.end())
         return;
     const auto moment = request->second;
     this->isReplyPending = false;
@@ -171,9 +191,9 @@
     }
     if (reply.configurationRevision != 0)
         this->configurationConfirmed.emit(reply.configurationRevision, moment - reply.configurationAge);
-    if (!isFresh)
+    if ((!isFresh || reply.isFollowing) && !this->preferred.empty())
         this->selectNextObserver();
-    else if (hasMore)
+    if (isFresh && hasMore)
         this->sendRequest();
 }
 
@@ -183,7 +203,8 @@
     if (topic >= this->watchers.size())
         return true;
     auto& watcher = *this->watchers.at(topic);
-    StoreWatcher::Relayed relayed { { part.entries, part.upTo }, moment - part.age, {} };
+    // Only the last of several parts makes the knowledge complete.
+    StoreWatcher::Relayed relayed { { part.entries, part.upTo }, part.hasMore ? BootClock::time_point {} : moment - part.age, {} };
     if (part.sinceRecovery)
         relayed.storeRecoveredAt = BootClock::now() - *part.sinceRecovery;
     watcher.relayed(relayed);
@@ -196,8 +217,8 @@
     auto ages = nlohmann::json::array();
     for (const auto* watcher : this->watchers)
         ages.push_back({ { "revision", watcher->newestRevision() }, { "confirmed_ms_ago", ageAt(now, watcher->confirmedAt()).count() } });
-    return { { "is_observer", this->isObserver }, { "observers", this->preferred.size() },
-        { "observer", this->isObserver || this->preferred.empty() ? "" : this->preferred[this->selected].toString() }, { "topics", ages } };
+    return { { "is_observer", this->isObserver }, { "observers", this->board.observers.value().addresses.size() },
+        { "observer", this->preferred.empty() || !this->isFollowing(now) ? "" : this->preferred[this->selected].toString() }, { "topics", ages } };
 }
 
 } // namespace Primrosefork
--- a/src/gateway/relaycontroller.h
+++ b/src/gateway/relaycontroller.h
@@ -26,7 +26,10 @@
  *
  * An observer watches the store and replies to the requests of other nodes. A
  * node that is no observer requests the changes from one of them several times a
- * second, and turns to another one that does not reply or whose knowledge is old.
+ * second, and turns to another one when it does not reply or its knowledge is old.
+ * So does an observer whose own calls bring nothing, until the store serves it
+ * again; knowledge keeps its age on the way, so that two observers which follow each
+ * other notice that it grows old.
  */
 class RelayController : public StateSource {
 public:
@@ -61,6 +64,8 @@
     auto roleChanged(bool present) -> void;
     auto updateExpectation() -> void;
     auto selectNextObserver() -> void;
+    [[nodiscard]] auto isFollowing(BootClock::time_point now) const -> bool;
+    [[nodiscard]] auto isBehind(BootClock::time_point now) const -> bool;
     [[nodiscard]] auto partOf(RelayTopic, StoreRevision position, std::uint64_t digest, BootClock::time_point now) const -> std::optional<RelayPart>;
     auto applyPart(const RelayPart&, BootClock::time_point sentAt) -> bool;
 
@@ -70,7 +75,7 @@
     Metrics& metrics;
     const EventLog& log;
     Timer timer;
-    std::vector<Address> preferred; ///< The observers in the order of preference.
+    std::vector<Address> preferred; ///< The observers, other than this node, in the order of preference.
     std::size_t selected = 0; ///< Index of the observer in use.
     bool isObserver = true; ///< Role as of the last tick.
     bool expectsRelay = false; ///< Whether observers relay the store's changes to this node, or are expected to do so soon.
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -23,6 +23,9 @@
 constexpr int restartWaitDivisor = 4; ///< Part of the stall timeout for which a restarted watch waits.
 constexpr std::chrono::milliseconds catchUpDelay = 150ms; ///< Time for the watch to deliver a change that another node has seen, before everything is listed again.
 constexpr int maxDoublings = 3;
+constexpr std::chrono::milliseconds minOutage = 300ms; ///< Failures for a shorter time, such as a lost connection, are no outage of the store.
+constexpr std::chrono::milliseconds minOutageByPeers = 1s; ///< The leader confirms its knowledge twice a second, so a shorter pause shows no outage.
+constexpr int awayFactor = 2; ///< Stall timeouts without a confirmation after which a store that served only other nodes counts as away.
 
 } // namespace
 
@@ -80,6 +83,8 @@
 
 auto StoreWatcher::confirmUpToDate(BootClock::time_point moment) -> void
 {
+    if (this->isStoreAway(moment))
+        this->recoveredAt = std::max(this->recoveredAt, moment);
     this->lastConfirmation = std::max(this->lastConfirmation, moment);
     this->lastExternalConfirmation = std::max(this->lastExternalConfirmation, moment);
 }
@@ -90,6 +95,8 @@
         return this->confirmUpToDate(moment);
     if (this->catchUpTimer.isRunning())
         return;
+    if (this->awaitedRevision <= this->changeLog.newestRevision())
+        this->awaitedSince = BootClock::now();
     this->awaitedRevision = newest;
     this->catchUpTimer.start(this->timing.batchDelay + catchUpDelay + (this->isRelayed ? relayDelay : 0ms));
 }
@@ -107,22 +114,20 @@
 
 auto StoreWatcher::relayed(const Relayed& news) -> void
 {
-    const auto known = this->changeLog.newestRevision();
-    if (known == 0)
+    if (this->changeLog.newestRevision() == 0)
         return;
-    StoreListing listing;
+    auto listing = this->newEntriesOf(news.changes.entries);
     listing.revision = news.changes.upTo;
-    std::copy_if(news.changes.entries.begin(), news.changes.entries.end(), std::back_inserter(listing.entries),
-        [known](const auto& entry) { return entry.revision > known; });
     this->changeLog.changed(listing.entries);
     this->changeLog.completeUpTo(news.changes.upTo);
     this->revision = std::max(this->revision, this->changeLog.newestRevision());
     if (news.storeRecoveredAt)
         this->recoveredAt = std::max(this->recoveredAt, *news.storeRecoveredAt);
+    this->priorConfirmation = this->lastConfirmation;
     if (!listing.entries.empty())
         this->handlers.changed(listing);
     this->lastConfirmation = std::max(this->lastConfirmation, news.confirmedAt);
-    if (this->timing.stallTimeout == 0ms || BootClock::now() - news.confirmedAt >= this->stallTimeout() || std::exchange(this->isRelayed, true))
+    if (!this->follows || this->timing.stallTimeout == 0ms || BootClock::now() - news.confirmedAt >= this->stallTimeout() || std::exchange(this->isRelayed, true))
         return;
     // Answers to calls that are still pending are ignored from now on.
     ++this->currentCall;
@@ -130,6 +135,39 @@
     this->consecutiveFailures = 0;
 }
 
+auto StoreWatcher::newEntriesOf(const std::vector<StoreEntry>& entries) const -> StoreListing
+{
+    StoreListing listing;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(listing.entries),
+        [known = this->changeLog.newestRevision()](const auto& entry) { return entry.revision > known; });
+    return listing;
+}
+
+auto StoreWatcher::isBehind(BootClock::time_point now) const -> bool
+{
+    return this->awaitedRevision > this->changeLog.newestRevision() && now - this->awaitedSince >= this->timing.batchDelay;
+}
+
+auto StoreWatcher::needsRelay(BootClock::time_point now) const -> bool
+{
+    // A watch that was given up gets the time to confirm that nothing was missed.
+    return this->isFailing() || this->isBehind(now) || (this->timing.stallTimeout > 0ms && now - this->lastConfirmation >= this->timing.stallTimeout * 3 / 2);
+}
+
+auto StoreWatcher::isStoreAway(BootClock::time_point now) const -> bool
+{
+    return this->isUnansweredFor(std::max(minOutageByPeers, this->timing.stallTimeout), now);
+}
+
+auto StoreWatcher::isUnansweredFor(std::chrono::milliseconds time, BootClock::time_point now) const -> bool
+{
+    if (!this->isFailing())
+        return false;
+    if (this->lastConfirmation > this->failingSince)
+        return now - this->lastConfirmation >= awayFactor * this->timing.stallTimeout;
+    return now - this->failingSince >= time;
+}
+
 auto StoreWatcher::stopRelay() -> void
 {
     if (std::exchange(this->isRelayed, false))
@@ -153,6 +191,11 @@
 
 auto StoreWatcher::applyListing(const StoreListing& listing) -> void
 {
+    // Changes that were relayed in the meantime would be undone.
+    if (listing.revision < this->changeLog.newestRevision()) {
+        this->revision = this->changeLog.newestRevision();
+        return this->watch();
+    }
     this->revision = listing.revision;
     this->changeLog.listed(listing);
     this->handlers.listed(listing);
@@ -164,6 +207,9 @@
 
 auto StoreWatcher::watch() -> void
 {
+    // After a failure, a short wait shows soon whether the store answers again.
+    if (this->isFailing() && this->timing.stallTimeout > 0ms)
+        return this->watchFor(this->timing.stallTimeout / restartWaitDivisor);
     const auto isConfirmed = this->timing.stallTimeout == 0ms || BootClock::now() - this->lastExternalConfirmation < this->timing.stallTimeout;
     this->watchFor(isConfirmed ? watchTimeout : this->timing.stallTimeout / 2);
 }
@@ -186,8 +232,11 @@
         if (listing.entries.empty())
             return this->watch();
         const auto isFirst = this->changeLog.isEmpty();
-        this->changeLog.changed(listing.entries);
-        this->handlers.changed(listing);
+        auto news = this->newEntriesOf(listing.entries);
+        news.revision = listing.revision;
+        this->changeLog.changed(news.entries);
+        if (!news.entries.empty())
+            this->handlers.changed(news);
         if (isFirst && this->expectsRelay)
             this->isRelayed = true;
         else
@@ -197,17 +246,22 @@
 
 auto StoreWatcher::succeeded(BootClock::time_point moment) -> void
 {
+    const auto now = BootClock::now();
+    if (this->isUnansweredFor(minOutage, now))
+        this->recoveredAt = now;
+    this->priorConfirmation = this->lastConfirmation;
     this->lastConfirmation = std::max(this->lastConfirmation, moment);
     if (std::exchange(this->consecutiveFailures, 0) == 0)
         return;
-    this->recoveredAt = BootClock::now();
     this->log.write(Event::StoreRecovered, { { "prefix", this->prefix } });
 }
 
 auto StoreWatcher::failed(std::error_code error) -> void
 {
-    if (this->consecutiveFailures == 0)
+    if (this->consecutiveFailures == 0) {
+        this->failingSince = BootClock::now();
         this->log.write(Event::StoreUnavailable, { { "prefix", this->prefix }, { "error", error.message() } });
+    }
     const auto doublings = std::min(this->consecutiveFailures++, maxDoublings);
     const auto first = this->follows ? firstSlowRetryDelay : firstRetryDelay;
     this->retryTimer.start(std::min(first * (1 << doublings), this->follows ? maxSlowRetryDelay : maxRetryDelay));
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Primrosefork {
 
@@ -25,8 +26,9 @@
  * answer of the store nor another node confirmed that no change was missed.
  *
  * While an observer, a node that watches the store itself, relays the changes,
- * this node makes no calls. It watches again when the relayed knowledge is older
- * than the stall timeout.
+ * a node that follows observers makes no calls. It watches again when the relayed
+ * knowledge is older than the stall timeout. A node that does not follow observers
+ * applies relayed changes as well, but goes on with its own calls.
  */
 class StoreWatcher {
 public:
@@ -46,7 +48,7 @@
     struct Relayed {
         ChangeBatch changes;
         BootClock::time_point confirmedAt; ///< Time, or an earlier one, at which the observer's knowledge was last confirmed to be complete.
-        std::optional<BootClock::time_point> storeRecoveredAt; ///< Time at which the store last answered the observer again after failures, if it failed.
+        std::optional<BootClock::time_point> storeRecoveredAt; ///< Time at which the store last answered again after an outage, as far as the observer knows of one.
     };
 
     StoreWatcher(EventLoop&, KeyValueStore&, const EventLog&, std::string prefix, Handlers, Timing);
@@ -93,15 +95,29 @@
     /** Notes that no change up to \a moment can have been missed, as confirmed by other means than an answer to a list or watch. */
     auto confirmUpToDate(BootClock::time_point moment) -> void;
 
+    /** Returns the time up to which changes were known before those that are being handed over; they were made later. */
+    [[nodiscard]] auto earlierConfirmation() const -> BootClock::time_point { return this->priorConfirmation; }
+
     /** Returns whether the last call to the store failed. */
     [[nodiscard]] auto isFailing() const -> bool { return this->consecutiveFailures > 0; }
 
-    /** Returns the time at which the store last answered again after failed calls; the clock's epoch if no call failed. */
+    /** Returns whether at \a now another node may know changes that this node's own calls do not bring. */
+    [[nodiscard]] auto needsRelay(BootClock::time_point now) const -> bool;
+
+    /** Returns whether at \a now a change that another node has seen is overdue. */
+    [[nodiscard]] auto isBehind(BootClock::time_point now) const -> bool;
+
+    /** Returns whether at \a now the store seems to be away for all nodes: calls have failed for a while, and no node is known to have got an answer since. */
+    [[nodiscard]] auto isStoreAway(BootClock::time_point now) const -> bool;
+
+    /** Returns the time at which the store last answered again after it was away for all nodes; the clock's epoch if it never was. */
     [[nodiscard]] auto recoveryTime() const -> BootClock::time_point { return this->recoveredAt; }
 
 private:
     auto list() -> void;
     auto applyListing(const StoreListing&) -> void;
+    [[nodiscard]] auto newEntriesOf(const std::vector<StoreEntry>&) const -> StoreListing;
+    [[nodiscard]] auto isUnansweredFor(std::chrono::milliseconds time, BootClock::time_point now) const -> bool;
     auto watch() -> void;
     auto watchFor(std::chrono::milliseconds wait) -> void;
     auto startStallTimer(BootClock::time_point start) -> void;
@@ -122,12 +138,15 @@
     StoreRevision revision = 0; ///< Revision to watch from; 0 when everything is to be listed.
     ChangeLog changeLog;
     StoreRevision awaitedRevision = 0; ///< Revision up to which another node has seen the changes, and which this node is to reach soon.
+    BootClock::time_point awaitedSince; ///< Time at which this node was told of it.
     std::uint64_t currentCall = 0; ///< Number of the list or watch in flight; answers to earlier ones are ignored.
     BootClock::time_point lastConfirmation; ///< Time at which it was last confirmed that no change was missed.
+    BootClock::time_point priorConfirmation; ///< The confirmation before the changes that are being handed over.
     BootClock::time_point lastRestart; ///< Time at which a watch was last given up.
     BootClock::time_point listRequestedAt;
     BootClock::time_point lastExternalConfirmation; ///< Time of the last call of confirmUpToDate().
     int consecutiveFailures = 0;
+    BootClock::time_point failingSince; ///< Time of the first of these failures.
     BootClock::time_point recoveredAt;
     bool isRelayed = false; ///< An observer relays the changes or is expected to, and no call to the store is pending.
     bool follows = false;
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -41,6 +41,7 @@
     reply.number = 5;
     reply.configurationRevision = 901;
     reply.configurationAge = 40ms;
+    reply.isFollowing = true;
     reply.parts = { { RelayTopic::Registry, { { "servers/i-1", std::string("\0bytes\xff", 7), 933, false }, { "servers/i-2", "", 934, true } }, 940, true, 12ms, 3s } };
     return reply;
 }
@@ -91,6 +92,7 @@
     const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
     REQUIRE(decoded.has_value());
     REQUIRE(decoded->relayReply.has_value());
+    CHECK(decoded->relayReply->isFollowing);
     REQUIRE(decoded->relayReply->parts.size() == 1);
     const auto& part = decoded->relayReply->parts.front();
     CHECK(part.entries[0].value == std::string("\0bytes\xff", 7));
