Http: Called timers that are due in the order in which they expired

Callers would see requests that wait and retries lose their order just after a long turn.

Cause: each timer queued its task with a timer of its own for the next turn, and libevent does not keep the order of equal times.

Change: the loop keeps the timers that are due in one list, in order.

--- a/src/http/eventloop.cpp
+++ b/src/http/eventloop.cpp
@@ -23,11 +23,14 @@
 
 EventLoop::EventLoop()
     : eventBase(event_base_new())
+    , dueEvent(evtimer_new(
+          this->eventBase, [](evutil_socket_t, short events, void* self) { static_cast<EventLoop*>(self)->dueReached((events & EV_TIMEOUT) != 0); }, this))
 {
 }
 
 EventLoop::~EventLoop()
 {
+    event_free(this->dueEvent);
     event_base_free(this->eventBase);
 }
 
@@ -54,19 +57,40 @@
         static_cast<void>(owned.release());
 }
 
+auto EventLoop::queueTask(Timer& timer) -> void
+{
+    this->dueTimers.push_back(&timer);
+    // Input that has arrived up to the end of this turn is read in the next one.
+    const timeval nextTurn { 0, 0 };
+    if (evtimer_pending(this->dueEvent, nullptr) == 0)
+        evtimer_add(this->dueEvent, &nextTurn);
+}
+
+auto EventLoop::dueReached(bool isTurnBeginning) -> void
+{
+    // In one turn, libevent calls expired timers before the deferred callbacks of the buffers that it has just filled, so the tasks queue behind these.
+    if (isTurnBeginning)
+        return event_active(this->dueEvent, EV_READ, 1);
+    while (!this->dueTimers.empty()) {
+        auto* timer = this->dueTimers.front();
+        this->dueTimers.pop_front();
+        timer->isDue = false;
+        timer->task();
+    }
+}
+
 Timer::Timer(EventLoop& loop, std::function<void()> task)
-    : task(std::move(task))
+    : loop(loop)
+    , task(std::move(task))
     , delayEvent(evtimer_new(
           loop.base(), [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->expired(); }, this))
-    , taskEvent(evtimer_new(
-          loop.base(), [](evutil_socket_t, short events, void* self) { static_cast<Timer*>(self)->taskDue((events & EV_TIMEOUT) != 0); }, this))
 {
 }
 
 Timer::~Timer()
 {
+    this->stop();
     event_free(this->delayEvent);
-    event_free(this->taskEvent);
 }
 
 auto Timer::start(std::chrono::microseconds delay) -> void
@@ -86,12 +110,13 @@
 {
     this->period = std::chrono::microseconds(0);
     evtimer_del(this->delayEvent);
-    evtimer_del(this->taskEvent);
+    if (std::exchange(this->isDue, false))
+        this->loop.dueTimers.remove(this);
 }
 
 auto Timer::isRunning() const -> bool
 {
-    return evtimer_pending(this->delayEvent, nullptr) != 0 || event_pending(this->taskEvent, EV_TIMEOUT | EV_READ, nullptr) != 0;
+    return this->isDue || evtimer_pending(this->delayEvent, nullptr) != 0;
 }
 
 auto Timer::expired() -> void
@@ -100,17 +125,8 @@
         const auto wait = toTimeval(this->period);
         evtimer_add(this->delayEvent, &wait);
     }
-    // Input that has arrived up to the end of this turn is read in the next one.
-    const timeval nextTurn { 0, 0 };
-    evtimer_add(this->taskEvent, &nextTurn);
-}
-
-auto Timer::taskDue(bool isTurnBeginning) -> void
-{
-    // In one turn, libevent calls expired timers before the deferred callbacks of the buffers that it has just filled, so the task queues behind these.
-    if (isTurnBeginning)
-        return event_active(this->taskEvent, EV_READ, 1);
-    this->task();
+    if (!std::exchange(this->isDue, true))
+        this->loop.queueTask(*this);
 }
 
 SignalWatcher::SignalWatcher(EventLoop& loop, int signalNumber, std::function<void()> task)
--- a/src/http/eventloop.h
+++ b/src/http/eventloop.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 
 struct event;
@@ -10,6 +11,8 @@
 
 namespace Primrosefork {
 
+class Timer;
+
 /**
  * The event loop of a process, which runs all callbacks on one thread.
  */
@@ -39,7 +42,16 @@
     [[nodiscard]] static auto now() -> TimePoint { return std::chrono::steady_clock::now(); }
 
 private:
+    friend class Timer;
+
+    /** Calls the task of \a timer after the input that has arrived was handled; timers that are due keep their order. */
+    auto queueTask(Timer& timer) -> void;
+
+    auto dueReached(bool isTurnBeginning) -> void;
+
     event_base* eventBase;
+    event* dueEvent; ///< Pending while timers are due.
+    std::list<Timer*> dueTimers; ///< Timers whose delay has ended, the first one first.
 };
 
 /** Returns \a duration as the delay of a timer; a negative duration becomes zero. */
@@ -72,13 +84,15 @@
     [[nodiscard]] auto isRunning() const -> bool;
 
 private:
+    friend class EventLoop;
+
     auto expired() -> void;
-    auto taskDue(bool isTurnBeginning) -> void;
 
+    EventLoop& loop;
     std::function<void()> task;
     std::chrono::microseconds period { 0 };
     event* delayEvent; ///< Pending until the delay has ended.
-    event* taskEvent; ///< Pending from then until the loop has handled the input that had arrived.
+    bool isDue = false; ///< Whether the delay has ended and the task is queued.
 };
 
 /**
--- a/tests/http/test_eventloop.cpp
+++ b/tests/http/test_eventloop.cpp
@@ -4,9 +4,11 @@
 #include <doctest/doctest.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <memory>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace Primrosefork;
 using namespace std::chrono_literals;
@@ -43,7 +45,7 @@
 enum class Input {
     None,
     BeforeExpiry,
-    DuringTurn, ///< While a later callback of the turn in which the timer expires keeps the loop busy.
+    DuringTurn, ///< While another callback of the turn in which the timer expires keeps the loop busy.
 };
 
 struct BusyLoopCase {
@@ -81,4 +83,21 @@
     }
 }
 
+// Guards against requests and retries that lose their order because the loop was busy.
+TEST_CASE("timers that expire while the loop is busy are called in the order in which they expired")
+{
+    EventLoop loop;
+    std::vector<int> order;
+    std::vector<std::unique_ptr<Timer>> timers;
+    constexpr int count = 8;
+    for (int index = 0; index < count; ++index) {
+        timers.push_back(std::make_unique<Timer>(loop, [&order, index] { order.push_back(index); }));
+        timers.back()->start(2ms * (index + 1));
+    }
+    std::this_thread::sleep_for(2 * delay);
+    for (int turn = 0; turn < 3; ++turn)
+        loop.runOnce();
+    CHECK(order == std::vector<int> { 0, 1, 2, 3, 4, 5, 6, 7 });
+}
+
 } // namespace
