Forwarding: Kept connections with unread input, however many the loop has to read

Callers would see: of 60 or 200 callers whose requests arrive while the loop is busy past the idle timeout, 34 are answered and the others cut off; and a planned stop resets connections that are open but not accepted.

Cause: the loop looks at 32 sockets and 32 deferred callbacks in one turn, so that running timers after the input of a turn does not cover all input; the listener was closed with connections in its queue.

Change: an idle timeout that finds unread input lets it be read, and a stop accepts what callers have opened before it closes the listener.

The rows before are kept, with the number of callers as a column.

--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -263,6 +263,8 @@
 {
     if (this->state == State::Reading && this->parser.hasBegun())
         return this->reject(statusRequestTimeout);
+    if (this->state == State::Reading && this->hasUnreadInput())
+        return this->timer.start(this->limits.headerTimeout);
     this->close("timed out");
 }
 
--- a/src/forwarding/callerlistener.cpp
+++ b/src/forwarding/callerlistener.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <event2/listener.h>
 #include <event2/util.h>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -60,10 +61,19 @@
         connection->closeAfterResponse();
 }
 
+auto CallerListener::acceptPending() -> void
+{
+    const auto listening = evconnlistener_get_fd(this->listener);
+    for (auto socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); socket >= 0; socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC))
+        this->accepted(socket);
+}
+
 auto CallerListener::closeIdle() -> void
 {
-    if (this->listener)
+    if (this->listener) {
+        this->acceptPending();
         evconnlistener_free(std::exchange(this->listener, nullptr));
+    }
     for (const auto& [key, connection] : this->connections)
         connection->closeIfIdle();
 }
--- a/src/forwarding/callerlistener.h
+++ b/src/forwarding/callerlistener.h
@@ -30,7 +30,7 @@
     /** Closes each connection after its next response. */
     auto beginDrain() -> void;
 
-    /** Stops accepting connections and closes those without a request in progress. */
+    /** Stops accepting connections, except those that callers have opened already, and closes those without a request in progress. */
     auto closeIdle() -> void;
 
     /** Returns the number of connections with a request or a response in progress. */
@@ -43,6 +43,9 @@
 private:
     auto accepted(int socket) -> void;
 
+    /** Accepts the connections that callers have opened already. */
+    auto acceptPending() -> void;
+
     EventLoop& loop;
     CallerConnection::RequestHandler requestHandler;
     CallerLimits limits;
--- a/src/traffic/trafficconfiguration.h
+++ b/src/traffic/trafficconfiguration.h
@@ -72,7 +72,7 @@
     std::size_t headerBytes = 16'384;
     std::size_t bodyBytes = 4'194'304;
     std::chrono::milliseconds headerTimeout { 3'000 }; ///< Time within which the header of a request has to be received.
-    std::chrono::milliseconds idleTimeout { 15'000 }; ///< Time after which a connection is closed on which no byte was received.
+    std::chrono::milliseconds idleTimeout { 15'000 }; ///< Time for which a caller may leave a connection idle; it is closed a little later.
 };
 
 /** Tokens or requests that a workspace may use over time. */
--- a/tests/callers/test_callerconnection.cpp
+++ b/tests/callers/test_callerconnection.cpp
@@ -2,7 +2,9 @@
 #include "rawconnection.h"
 
 #include <doctest/doctest.h>
+#include <memory>
 #include <thread>
+#include <vector>
 
 using namespace Primrosefork;
 using namespace Primrosefork::Testkit;
@@ -43,13 +45,15 @@
 
 struct BusyCase {
     const char* name;
-    bool sends; ///< Whether the caller sends another request while the loop is busy.
-    int answered; ///< Number of requests that are answered in all.
+    int callers; ///< Number of callers, each with a kept connection.
+    bool sends; ///< Whether each sends another request while the loop is busy.
 };
 
 const BusyCase busyCases[] = {
-    { "a request before the timeout", true, 2 },
-    { "no request before the timeout", false, 1 },
+    { "a request before the timeout", 1, true },
+    { "no request before the timeout", 1, false },
+    { "more callers than the loop looks at in one turn", 60, true },
+    { "many callers", 200, true },
 };
 
 // Guards against closing a kept connection, as idle, whose next request has arrived but was not read yet, because the loop was busy.
@@ -58,14 +62,20 @@
     for (const auto& row : busyCases) {
         CAPTURE(row.name);
         ListenerFixture fixture;
-        RawConnection caller(callersAddress);
-        caller.send(request);
-        REQUIRE(fixture.runUntil([&] { return fixture.answered == 1; }));
-        if (row.sends)
-            caller.send(request);
+        std::vector<std::unique_ptr<RawConnection>> callers;
+        for (int index = 0; index < row.callers; ++index) {
+            callers.push_back(std::make_unique<RawConnection>(callersAddress));
+            callers.back()->send(request);
+            REQUIRE(fixture.runUntil([&] { return fixture.answered == index + 1; }));
+        }
+        for (const auto& caller : callers) {
+            if (row.sends)
+                caller->send(request);
+        }
         std::this_thread::sleep_for(closingTime);
-        CHECK(fixture.runUntil([&] { return fixture.listener.connectionCount() == 0 || fixture.answered > 1; }));
-        CHECK(fixture.answered == row.answered);
+        const auto expected = row.sends ? 2 * row.callers : row.callers;
+        CHECK(fixture.runUntil([&] { return fixture.listener.connectionCount() == 0 || fixture.answered >= expected; }));
+        CHECK(fixture.answered == expected);
     }
 }
 
@@ -133,6 +143,18 @@
     }
 }
 
+// Guards against resetting connections that callers have opened, but that the node has not accepted when a planned stop ends its listener.
+TEST_CASE("a planned stop answers requests on connections that were not accepted yet")
+{
+    ListenerFixture fixture;
+    RawConnection caller(callersAddress);
+    caller.send(request);
+    fixture.listener.beginDrain();
+    fixture.listener.closeIdle();
+    CHECK(fixture.listener.busyCount() == 1);
+    CHECK(fixture.runUntil([&] { return fixture.answered == 1; }));
+}
+
 struct StopCase {
     const char* name;
     bool sends; ///< Whether the caller sends another request before idle connections are closed.
