Test: A registration that expired while the store was away is kept on every node

Guards the other side of: only a store that is away for all nodes lets registrations expire. Three seconds without the store, a registration that lapses meanwhile and is back 1.2 s after its return: all six nodes keep the server.

--- a/tests/gateway/test_turnedaway.cpp
+++ b/tests/gateway/test_turnedaway.cpp
@@ -192,6 +192,23 @@
     CHECK(fleet.requests[0] == before);
 }
 
+TEST_CASE("a registration that expired while the store was away for all nodes is kept on all of them until it is back")
+{
+    Fleet fleet(6, 3, 2);
+    REQUIRE(fleet.begin());
+    fleet.treat({ 0, 1, 2, 3, 4, 5 }, Treatment::Refused);
+    fleet.runFor(3s);
+    fleet.platform.remove("servers/i-2");
+    fleet.treat({ 0, 1, 2, 3, 4, 5 }, Treatment::Served);
+    for (int check = 0; check < 12; ++check) {
+        fleet.runFor(100ms);
+        CHECK(fleet.countUsing("i-2") == 6);
+    }
+    fleet.registerServer("i-2", "app", 18398);
+    fleet.runFor(2s);
+    CHECK(fleet.countUsing("i-2") == 6);
+}
+
 TEST_CASE("observers that are all turned away do not take each other's knowledge for fresh")
 {
     Fleet fleet(6, 3, 0);
