Gateway: Refused prompt parts on which servers crash

Cause: a lost attempt counted against its server alone. No node knew what the lost prompts had in common, and none knew of the losses of the others. Class: a poison request is retried and spread without attribution.

Change: each node keeps which parts were lost and which began (CrashEvidence), its report takes them to the coordinator, which decides for all nodes (PromptQuarantine) when so many crashes are improbable for a sound part; answers carry the parts, a record in the store keeps them for nodes that start.

--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -2,6 +2,7 @@
 
 #include "backendpool.h"
 #include "forwardrequest.h"
+#include "promptmonitor.h"
 #include "routingpolicy.h"
 #include "runmover.h"
 
@@ -48,6 +49,7 @@
     ServerSelector& servers;
     RunMover& mover;
     RoutingPolicy& policy;
+    PromptMonitor& prompts;
     Metrics& metrics;
     const EventLog& log;
     std::function<void(const std::string& workspace, std::chrono::milliseconds ago)> requestBegan; ///< Called when a server has begun to run a request, with the time since then.
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds minRemainingTime = 5ms; ///< Shortest time before the deadline at which a request is still sent.
 constexpr std::chrono::milliseconds defaultServerWait = 100ms; ///< Longest wait for a server if the route has no objective.
 constexpr int serverWaitDivisor = 4; ///< The longest wait for a server is the route's objective divided by this.
-constexpr std::chrono::milliseconds retryAfter = 300ms; ///< Retry-After of a refusal; short, because engines start and leave within seconds.
+constexpr std::chrono::milliseconds noServerRetryDelay = 300ms; ///< Retry-After when no server is available; short, because engines start and leave within seconds.
 constexpr std::chrono::milliseconds moveMargin = 300ms; ///< Time that a move may have to wait before the engine shuts down.
 constexpr std::chrono::milliseconds unknownRemainingTime = 1h; ///< Assumed until the rate of a stream can be measured.
 constexpr int maxAttempts = 8; ///< Limits the attempts when servers refuse the request.
@@ -84,6 +84,8 @@
 {
     if (this->phase != Phase::Waiting)
         return;
+    if (this->quarantineLeft())
+        return this->giveUp();
     const auto now = EventLoop::now();
     if (const auto* server = this->context.servers.chooseServer(this->details, this->excluded, now))
         return this->send(*server);
@@ -190,6 +192,7 @@
     if (!current.hasEvent) {
         current.hasEvent = true;
         this->context.policy.firstPieceReceived(this->routingRequest(), current.server, now);
+        this->context.prompts.attemptBegan(this->details.service->name, this->details.fields.promptParts, now);
         this->reportStart(0ms);
     } else {
         this->context.policy.pieceReceived(this->routingRequest(), current.server, 1, now);
@@ -216,6 +219,8 @@
         return this->attemptRefused(current);
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
     const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding") && !current.events.hasPartialEvent();
+    if (hasResponse && isSuccess && isIntact && !current.hasEvent)
+        this->context.prompts.attemptBegan(this->details.service->name, this->details.fields.promptParts, EventLoop::now());
     if (hasResponse && (!isSuccess || isIntact))
         return this->responseCompleted(current);
     this->attemptFailed(current, outcome);
@@ -276,6 +281,8 @@
     if (this->copy && this->resumeFromCopy())
         return;
     const auto mayHaveRun = outcome != CallOutcome::NotSent;
+    if (!current.hasEvent && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
+        this->context.prompts.attemptLost(this->details.service->name, this->details.fields.promptParts, current.server.id, EventLoop::now());
     this->context.log.write(Event::AttemptFailed,
         { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", mayHaveRun ? "unknown" : "not sent" },
             { "status", std::to_string(current.status) }, { "events", std::to_string(this->eventCount) } });
@@ -293,7 +300,7 @@
 auto ForwardRun::serverLeaving(std::chrono::milliseconds timeLeft) -> void
 {
     const auto canMove = this->phase == Phase::Streaming && !this->destination && this->details.service->engine && this->details.service->engine->canMoveRuns;
-    if (!canMove || this->remainingTime() < timeLeft - moveMargin)
+    if (!canMove || this->remainingTime() < timeLeft - moveMargin || this->quarantineLeft())
         return;
     auto excludedServers = this->excluded;
     excludedServers.insert(this->attempt->server.id);
@@ -309,6 +316,11 @@
         });
 }
 
+auto ForwardRun::quarantineLeft() const -> std::optional<std::chrono::milliseconds>
+{
+    return this->context.prompts.quarantineLeft(this->details.service->name, this->details.fields.promptParts, EventLoop::now());
+}
+
 auto ForwardRun::remainingTime() const -> std::chrono::milliseconds
 {
     const auto perEvent = std::max<std::int64_t>(1, this->details.service->engine->tokensPerEvent);
@@ -343,7 +355,7 @@
 auto ForwardRun::resumeFromCopy() -> bool
 {
     const auto now = EventLoop::now();
-    if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now))
+    if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now) || this->quarantineLeft())
         return false;
     this->endAttempt(AttemptEnd::Cancelled);
     const auto server = *this->destination;
@@ -360,7 +372,7 @@
     // A stream that was forwarded in part is resumed only if the route allows another run.
     if (this->eventCount > 0 && !this->details.isRepeatable())
         return false;
-    if (this->attempts >= maxAttempts || this->possibleRuns >= this->details.route->maxAttempts || this->details.deadline - now < minRemainingTime)
+    if (this->attempts >= maxAttempts || this->possibleRuns >= this->details.route->maxAttempts || this->details.deadline - now < minRemainingTime || this->quarantineLeft())
         return false;
     if (usesBudget && !this->context.servers.tryAcquireAttempt(this->details.service->name, now))
         return false;
@@ -378,14 +390,16 @@
         this->recordOutcome(0, "broken_off");
         return this->finish();
     }
-    if (this->possibleRuns == 0)
-        return this->refuse("no_server");
+    if (this->possibleRuns == 0) {
+        const auto left = this->quarantineLeft();
+        return left ? this->refuse("quarantined_prompt", *left) : this->refuse("no_server", noServerRetryDelay);
+    }
     this->fail(HttpStatus::badGateway, "server_lost");
 }
 
-auto ForwardRun::refuse(const char* reason) -> void
+auto ForwardRun::refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void
 {
-    const auto wait = this->context.servers.pauseLeft(this->details.service->name, EventLoop::now()).value_or(retryAfter);
+    const auto wait = std::max(retryAfter, this->context.servers.pauseLeft(this->details.service->name, EventLoop::now()).value_or(0ms));
     this->exchange->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(wait) } }, "");
     this->recordOutcome(HttpStatus::unavailable, reason);
     this->finish();
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -80,10 +80,11 @@
     auto retry(bool usesBudget) -> bool;
     auto moveEnded(std::error_code, const MoveResult&) -> void;
     auto resumeFromCopy() -> bool;
+    [[nodiscard]] auto quarantineLeft() const -> std::optional<std::chrono::milliseconds>;
     [[nodiscard]] auto remainingTime() const -> std::chrono::milliseconds;
     auto giveUp() -> void;
     auto forwardResponse(const ForwardAttempt&) -> void;
-    auto refuse(const char* reason) -> void;
+    auto refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void;
     auto fail(int status, const char* reason) -> void;
     auto deadlineReached() -> void;
     auto reportStart(std::chrono::milliseconds ago) -> void;
--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -45,12 +45,13 @@
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, RelayController& relay, Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    QuotaController& quotas, QuarantineController& quarantines, RelayController& relay, Metrics& metrics, const EventLog& log, ReportSource reportSource)
     : loop(loop)
     , store(store)
     , settings(settings)
     , board(board)
     , quotas(quotas)
+    , quarantines(quarantines)
     , relay(relay)
     , metrics(metrics)
     , log(log)
@@ -107,6 +108,8 @@
             this->setKey(entry.value);
         else if (entry.key == nodesKey)
             this->applyNodeCount(entry);
+        else if (entry.key == quarantineKey)
+            this->quarantines.applyRecord(entry, EventLoop::now());
     }
     if (!this->keyring)
         this->createKey();
@@ -181,6 +184,7 @@
     message.report->term = leadership.term;
     message.report->zone = this->settings.zone;
     message.report->processorShare = this->settings.processorShare;
+    message.report->prompts = this->quarantines.makeReport(EventLoop::now());
     std::erase_if(message.report->workspaces, [](const auto& entry) { return entry.requestedPerSecond < minReportedDemand && entry.locallyGrantedUnits == 0 && entry.recentUse.inWindow == 0; });
     if (leadership.isCoordinator && leadership.hasCoordinator(BootClock::now())) {
         message.sender = this->settings.id;
@@ -190,12 +194,13 @@
         this->sumReports();
         this->updateObservers();
         this->recordNodeCount(this->liveNodeCount);
+        this->quarantines.recordChanges(EventLoop::now());
         this->quotas.updateAccounts(this->nodeRecords, this->recordedNodeCount);
         this->partitionEngines();
         return this->applyAnswer(this->answerFor(this->settings.id, 0));
     }
     if (!leadership.hasCoordinator(BootClock::now()))
-        return;
+        return this->quarantines.decideAlone(this->settings.id, message.report->prompts, EventLoop::now());
     const auto reportSequence = this->sequence + 1;
     this->reportTimes[reportSequence] = BootClock::now();
     if (this->reportTimes.size() > keptReports)
@@ -277,6 +282,7 @@
     node.sequence = message.sequence;
     node.report = *message.report;
     node.receivedAt = EventLoop::now();
+    this->quarantines.reportReceived(message.sender, node.report.prompts, node.receivedAt);
     for (const auto& entry : node.report.windows)
         node.windows[entry.window] = entry.counts;
     while (node.windows.size() > keptWindows)
@@ -299,6 +305,7 @@
     answer.nodes = static_cast<std::uint32_t>(nodes);
     answer.term = this->board.leadership.value().term;
     answer.reportSequence = reportSequence;
+    this->quarantines.addToAnswer(answer, EventLoop::now());
     const auto node = this->nodeRecords.find(nodeId);
     const auto& traffic = this->board.traffic.value();
     const auto& registry = this->relay.watcher(RelayTopic::Registry);
@@ -392,6 +399,7 @@
         this->unconfirmedWindows.confirmed(answer.reportSequence);
         this->applyObservers(answer.observers);
     }
+    this->quarantines.applyAnswer(answer, EventLoop::now());
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     current.otherQuotaShare = answer.otherShare;
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -6,6 +6,7 @@
 #include "gatewaysettings.h"
 #include "keyvaluestore.h"
 #include "peerkeyring.h"
+#include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "relaycontroller.h"
 #include "statesource.h"
@@ -50,7 +51,7 @@
 public:
     using ReportSource = std::function<NodeReport()>;
 
-    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, RelayController&, Metrics&, const EventLog&, ReportSource);
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, RelayController&, Metrics&, const EventLog&, ReportSource);
     ~CoordinationController() override;
 
     auto begin() -> std::error_code;
@@ -97,6 +98,7 @@
     const GatewaySettings& settings;
     GatewayBoard& board;
     QuotaController& quotas;
+    QuarantineController& quarantines;
     RelayController& relay;
     Metrics& metrics;
     const EventLog& log;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -90,6 +90,15 @@
     value = static_cast<Value>(wire);
 }
 
+/** Serialises \a time, which is not negative and at most 49 days, in four bytes. */
+template <typename Archive>
+auto serializeTime(Archive& archive, std::chrono::milliseconds& time) -> void
+{
+    auto count = time.count();
+    serializeAs<std::uint32_t>(archive, count);
+    time = std::chrono::milliseconds(count);
+}
+
 } // namespace
 
 // cereal finds these functions by argument-dependent lookup, so they are in the namespace of the types.
@@ -150,6 +159,66 @@
     serializeAs<std::uint32_t>(archive, value.openStreams);
 }
 
+template <typename Archive>
+static auto serialize(Archive& archive, PromptLoss& value) -> void
+{
+    archive(value.server);
+    serializeTime(archive, value.age);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, PromptSuspect& value) -> void
+{
+    archive(value.part, value.position);
+    serializeList(archive, value.losses);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, ServerCrash& value) -> void
+{
+    archive(value.server, value.losses);
+    serializeTime(archive, value.age);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, PromptBegin& value) -> void
+{
+    auto hasAge = value.age.has_value();
+    archive(value.part, hasAge);
+    if (!hasAge)
+        return;
+    auto age = value.age.value_or(std::chrono::milliseconds(0));
+    serializeTime(archive, age);
+    value.age = age;
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, QuarantinedPart& value) -> void
+{
+    archive(value.part);
+    serializeTime(archive, value.left);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, PromptEvidence& value) -> void
+{
+    serializeText(archive, value.service);
+    serializeList(archive, value.begun);
+    serializeList(archive, value.lost);
+    serializeList(archive, value.crashes);
+    serializeList(archive, value.suspects);
+    serializeList(archive, value.begins);
+    serializeList(archive, value.quarantined);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, PromptVerdict& value) -> void
+{
+    serializeText(archive, value.service);
+    serializeList(archive, value.questioned);
+    serializeList(archive, value.quarantined);
+}
+
 template <typename Archive>
 static auto serialize(Archive& archive, NodeReport& value) -> void
 {
@@ -159,6 +228,7 @@
     serializeList(archive, value.workspaces);
     serializeList(archive, value.windows);
     serializeList(archive, value.services);
+    serializeList(archive, value.prompts);
 }
 
 template <typename Archive>
@@ -182,6 +252,8 @@
     serializeList(archive, value.shares);
     serializeList(archive, value.streamEngines);
     serializeList(archive, value.observers);
+    serializeList(archive, value.prompts);
+    archive(value.hasAllQuarantines);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "keyvaluestore.h"
+#include "promptevidence.h"
 #include "quotaledger.h"
 #include "usageledger.h"
 
@@ -46,6 +47,7 @@
     std::vector<WorkspaceReport> workspaces;
     std::vector<WindowReport> windows; ///< The windows whose counts the leader has not confirmed.
     std::vector<ServiceReport> services;
+    std::vector<PromptEvidence> prompts; ///< Evidence of prompts that crash servers, by service.
 };
 
 /** The share of a workspace's quota that one node may grant without the leader. */
@@ -73,6 +75,8 @@
     double otherShare = 0; ///< Share of each other workspace's quota.
     std::vector<StreamEngines> streamEngines;
     std::vector<Address> observers; ///< Nodes that watch the store and relay its changes.
+    std::vector<PromptVerdict> prompts; ///< Prompt parts in question and under quarantine, by service.
+    bool hasAllQuarantines = false; ///< Whether all parts under quarantine are named; a new leader may not know them yet.
 };
 
 /** A node's request to the leader for units of a workspace's quota. */
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -43,19 +43,20 @@
 } // namespace
 
 ForwardController::ForwardController(EventLoop& loop, const HeaderCodec& dialect, RunMover& mover, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, const WallClock& clock, Metrics& metrics, const EventLog& log)
+    QuotaController& quotas, PromptMonitor& prompts, const WallClock& clock, Metrics& metrics, const EventLog& log)
     : loop(loop)
     , dialect(dialect)
     , settings(settings)
     , board(board)
     , quotas(quotas)
+    , prompts(prompts)
     , clock(clock)
     , metrics(metrics)
     , log(log)
     , pool(loop, dialect, connectTimeout)
     , policy(hash64(settings.id))
     , usage(settings.bounds.usageWindow)
-    , context { loop, this->pool, dialect, *this, mover, this->policy, metrics, log,
+    , context { loop, this->pool, dialect, *this, mover, this->policy, prompts, metrics, log,
         [this](const std::string& workspace, std::chrono::milliseconds ago) {
             this->usage.requestBegan(workspace, this->clock.at(EventLoop::now()) - ago);
         } }
@@ -129,6 +130,8 @@
         return Refusal { HttpStatus::unavailable, "no_service", notReadyRetryDelay };
     if (const auto wait = this->pauseLeft(request.service->name, EventLoop::now()))
         return Refusal { HttpStatus::unavailable, "servers_paused", wait };
+    if (const auto left = this->prompts.quarantineLeft(request.service->name, request.fields.promptParts, EventLoop::now()))
+        return Refusal { HttpStatus::unavailable, "quarantined_prompt", left };
     auto left = request.fields.deadline.value_or(defaultDeadline);
     if (request.route->timeout > 0ms)
         left = std::min(left, request.route->timeout);
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -7,6 +7,7 @@
 #include "forwardrun.h"
 #include "gatewayboard.h"
 #include "gatewaysettings.h"
+#include "promptmonitor.h"
 #include "quotacontroller.h"
 #include "runmover.h"
 #include "serveravailability.h"
@@ -30,7 +31,7 @@
  */
 class ForwardController : public StateSource, private ServerSelector {
 public:
-    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, const WallClock&, Metrics&, const EventLog&);
+    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, PromptMonitor&, const WallClock&, Metrics&, const EventLog&);
     ~ForwardController() override;
 
     auto handle(const std::shared_ptr<CallerExchange>&) -> void;
@@ -79,6 +80,7 @@
     const GatewaySettings& settings;
     GatewayBoard& board;
     QuotaController& quotas;
+    PromptMonitor& prompts;
     const WallClock& clock;
     Metrics& metrics;
     const EventLog& log;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -28,12 +28,13 @@
     , log(this->settings.logLevel)
     , clockTimer(loop, [this] { this->sampleClock(); })
     , quotas(loop, this->settings, this->shared, this->metrics, this->log)
-    , forwarding(loop, *this->systems.dialect, *this->systems.mover, this->settings, this->shared, this->quotas, this->clock, this->metrics, this->log)
+    , quarantines(*this->systems.store, this->metrics, this->log)
+    , forwarding(loop, *this->systems.dialect, *this->systems.mover, this->settings, this->shared, this->quotas, this->quarantines, this->clock, this->metrics, this->log)
     , traffic(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->metrics, this->log)
     , registry(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->log)
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
     , relay(loop, this->settings, this->shared, { &this->traffic.storeWatcher(), &this->registry.storeWatcher(), &this->leadership.storeWatcher() }, this->metrics, this->log)
-    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->relay, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
+    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->relay, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
     , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->metrics, this->log)
     , callers(loop, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
@@ -123,7 +124,7 @@
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->usageReports, &this->fleet, &this->forwarding })
+             &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->usageReports, &this->fleet, &this->forwarding })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -14,6 +14,7 @@
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "metrics.h"
+#include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "registrycontroller.h"
 #include "relaycontroller.h"
@@ -77,6 +78,7 @@
     WallClock clock;
     Timer clockTimer;
     QuotaController quotas;
+    QuarantineController quarantines;
     ForwardController forwarding;
     TrafficController traffic;
     RegistryController registry;
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -46,6 +46,8 @@
     EventDescription { Event::RequestAnswered, Severity::Info, "requestAnswered" },
     EventDescription { Event::RequestNotAnswered, Severity::Info, "requestNotAnswered" },
     EventDescription { Event::RequestRefused, Severity::Info, "requestRefused" },
+    EventDescription { Event::PromptQuarantined, Severity::Warning, "promptQuarantined" },
+    EventDescription { Event::PromptReleased, Severity::Info, "promptReleased" },
     EventDescription { Event::ClaimsUnavailable, Severity::Error, "claimsUnavailable" },
     EventDescription { Event::ClaimsRecovered, Severity::Info, "claimsRecovered" },
     EventDescription { Event::OutcomeNotKept, Severity::Warning, "outcomeNotKept" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -56,6 +56,8 @@
     RequestAnswered = 4101,
     RequestNotAnswered = 4102,
     RequestRefused = 4103,
+    PromptQuarantined = 4201,
+    PromptReleased = 4202,
     ClaimsUnavailable = 5001,
     ClaimsRecovered = 5002,
     OutcomeNotKept = 5003,
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -17,6 +17,8 @@
     report.workspaces = { { "salon", 12.5F, 70'000.25, { 1, 2, 3 } }, { "kiosk", 1, 0, {} } };
     report.windows = { { 353'445'120, { { "salon", 412 }, { "kiosk", 1 } } } };
     report.services = { { "llm", 8'000, 30'000, 5, 1, 2 } };
+    report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 0xffffffff, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms }, { 18, 59s } } } },
+        { { 5, 1s }, { 6, std::nullopt } }, { { 9, 10min } } } };
     return report;
 }
 
@@ -31,6 +33,8 @@
     answer.shares = { { "salon", 0.25 } };
     answer.otherShare = 0.5;
     answer.streamEngines = { { "llm", 7 } };
+    answer.prompts = { { "llm", { 5, 1ULL << 63U }, { { 9, 599'999ms } } } };
+    answer.hasAllQuarantines = true;
     answer.observers = { { "10.1.0.14", 7600 }, { "127.0.0.1", 65'535 } };
     return answer;
 }
@@ -68,6 +72,19 @@
     CHECK(report.workspaces[1].workspace == "kiosk");
     CHECK(report.windows.front().counts == UsageCounts { { "salon", 412 }, { "kiosk", 1 } });
     CHECK(report.services.front().openRequests == 5);
+    REQUIRE(report.prompts.size() == 1);
+    const auto& prompts = report.prompts.front();
+    CHECK(prompts.begun == std::vector<std::uint16_t> { 7, 0 });
+    CHECK(prompts.lost == std::vector<std::uint16_t> { 1, 2 });
+    CHECK(prompts.crashes.front().server == 0xffffffff);
+    CHECK(prompts.crashes.front().losses == 3);
+    CHECK(prompts.suspects.front().part == 1ULL << 63U);
+    CHECK(prompts.suspects.front().position == 2);
+    REQUIRE(prompts.suspects.front().losses.size() == 2);
+    CHECK(prompts.suspects.front().losses[1].age == 59s);
+    CHECK(prompts.begins[0].age == 1s);
+    CHECK_FALSE(prompts.begins[1].age.has_value());
+    CHECK(prompts.quarantined.front().left == 10min);
 }
 
 TEST_CASE("an answer arrives as it was sent")
@@ -82,6 +99,10 @@
     CHECK(decoded->answer->shares.front().share == 0.25);
     CHECK(decoded->answer->otherShare == 0.5);
     CHECK(decoded->answer->streamEngines.front().count == 7);
+    REQUIRE(decoded->answer->prompts.size() == 1);
+    CHECK(decoded->answer->prompts.front().questioned == std::vector<std::uint64_t> { 5, 1ULL << 63U });
+    CHECK(decoded->answer->prompts.front().quarantined.front().left == 599'999ms);
+    CHECK(decoded->answer->hasAllQuarantines);
     CHECK(decoded->answer->observers == makeAnswer().observers);
 }
 
@@ -109,6 +130,7 @@
     message.sender = "edge-tw-north-a-117";
     message.report = makeReport();
     message.report->workspaces.clear();
+    message.report->prompts.clear();
     for (int workspace = 0; workspace < 12; ++workspace)
         message.report->workspaces.push_back({ "workspace" + std::to_string(workspace), 900, 0, {} });
     message.report->windows = { { 353'445'120, {} } };
@@ -117,6 +139,30 @@
     CHECK(encodeFleetMessage(message).size() <= maxBytes);
 }
 
+/** While servers crash, a report still fits into few packets. */
+TEST_CASE("the largest evidence of crashes fits into a few packets")
+{
+    constexpr std::size_t maxBytes = 4'200;
+    std::minstd_rand random(1);
+    PromptEvidence evidence { "llm", {}, {}, {}, {}, {}, {} };
+    evidence.begun.assign(evidenceSlots, 40);
+    evidence.lost.assign(evidenceSlots, 20);
+    for (std::size_t index = 0; index < maxReportedCrashes; ++index)
+        evidence.crashes.push_back({ static_cast<std::uint32_t>(random()), std::chrono::milliseconds(random() % 60'000), 2 });
+    for (std::size_t index = 0; index < maxReportedSuspects; ++index) {
+        auto& suspect = evidence.suspects.emplace_back(PromptSuspect { random(), 1, {} });
+        for (std::size_t loss = 0; loss < maxReportedLosses; ++loss)
+            suspect.losses.push_back({ static_cast<std::uint32_t>(random()), std::chrono::milliseconds(random() % 60'000) });
+    }
+    for (std::size_t index = 0; index < maxQuestionedParts; ++index)
+        evidence.begins.push_back({ random(), 5s });
+    FleetMessage message;
+    message.sender = "edge-tw-north-a-117";
+    message.report = NodeReport {};
+    message.report->prompts = { evidence };
+    CHECK(encodeFleetMessage(message).size() <= maxBytes);
+}
+
 TEST_CASE("bytes that are no message are refused")
 {
     FleetMessage message;
