Promises: Printed the requests behind the longest stall and the answers to bookings

A failed stall was a figure without its stream: neither the replay nor the nodes' logs told which nodes its caller had asked, when, and what each had answered. The caller now keeps that for each request, and the replay prints it for the longest stall of a trace that fails (--details: of every trace), with the number of bookings by node, status and error.

--- a/src/measure/promises/bookingcalls.cpp
+++ b/src/measure/promises/bookingcalls.cpp
@@ -29,6 +29,7 @@
 {
     const auto call = std::make_shared<Call>();
     call->key = "booking-" + std::to_string(this->calls.size());
+    call->node = node;
     this->calls.push_back(call);
     HttpCallOptions options;
     options.firstByteTimeout = callTimeout;
@@ -41,6 +42,7 @@
             call->isDone = true;
             call->status = error ? 0 : response.status;
             call->execution = body.is_object() ? body.value("execution", "") : "";
+            call->error = body.is_object() ? body.value("error", "") : error.message();
         }));
 }
 
@@ -62,6 +64,7 @@
         const auto count = runs[call->key];
         ++totals.calls;
         totals.confirmed += call->status == HttpStatus::ok ? 1 : 0;
+        ++totals.outcomes["node-" + std::to_string(call->node) + ": " + std::to_string(call->status) + " " + call->error];
         totals.runTwice += count > 1 ? 1 : 0;
         totals.wronglyNotRun += call->execution == "not run" && count > 0 ? 1 : 0;
         totals.wronglyConfirmed += call->status == HttpStatus::ok && count == 0 ? 1 : 0;
--- a/src/measure/promises/bookingcalls.h
+++ b/src/measure/promises/bookingcalls.h
@@ -16,6 +16,7 @@
     std::int64_t runTwice = 0; ///< Calls whose key was run more than once.
     std::int64_t wronglyNotRun = 0; ///< Calls refused as "not run" although their key was run.
     std::int64_t wronglyConfirmed = 0; ///< Calls answered as confirmed although their key was not run.
+    std::map<std::string, std::int64_t> outcomes; ///< Number of calls by node, status and error.
 };
 
 /**
@@ -40,7 +41,9 @@
 private:
     struct Call {
         std::string key;
+        std::size_t node = 0;
         std::string execution; ///< Execution that the answer reports.
+        std::string error; ///< Error code in the answer.
         int status = 0;
         bool isDone = false;
     };
--- a/src/measure/promises/main.cpp
+++ b/src/measure/promises/main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 
 DEFINE_string(traces, TRACES_FOLDER, "The folder of the traces (JSON lines, docs/TRACES.md), or a single trace file.");
+DEFINE_bool(details, false, "Prints the details of expectations that hold as well: the requests of the caller with the longest stall, and the answers to bookings.");
 DEFINE_uint64(seed, 0, "Replays with this seed in place of the seeds in the traces, unless it is 0.");
 
 namespace {
@@ -28,6 +29,12 @@
     return files;
 }
 
+auto printDetails(const ReplayResult& result) -> void
+{
+    for (const auto& line : result.details)
+        std::cout << "    " << line << std::endl;
+}
+
 auto runProgram(int argc, char** argv) -> int
 {
     gflags::SetUsageMessage("Replays traces against real processes and checks the outcomes that the traces expect.\n\nExample:\n  tools/measure promises --traces src/measure/promises/traces/mixed.jsonl");
@@ -43,6 +50,8 @@
         for (const auto& result : replay.run()) {
             ++(result.hasPassed ? passed : failed);
             std::cout << (result.hasPassed ? "  passed: " : "  FAILED: ") << result.expectation << ": " << result.figure << std::endl;
+            if (!result.hasPassed || FLAGS_details)
+                printDetails(result);
         }
     }
     std::cout << passed << " passed, " << failed << " failed" << std::endl;
--- a/src/measure/promises/replay.cpp
+++ b/src/measure/promises/replay.cpp
@@ -56,9 +56,9 @@
 {
     if (!this->cluster.start())
         return { { "the cluster starts", "not all nodes were ready", false } };
-    const auto start = EventLoop::now();
+    this->startedAt = EventLoop::now();
     for (const auto& step : this->trace.steps) {
-        this->waitUntil(start + step.at);
+        this->waitUntil(this->startedAt + step.at);
         this->perform(step);
     }
     std::vector<ReplayResult> results;
@@ -198,8 +198,11 @@
             + std::to_string(totals.repeats) + ", wrong tokens " + std::to_string(totals.wrongTokens);
         return { "every stream has the expected bytes and offsets", figure, totals.correct == count };
     }
-    if (expectation.name == "longest_stall_ms")
-        return checkAtMost("longest stall in ms", totals.longestStall.count(), json.at("at_most").get<std::int64_t>());
+    if (expectation.name == "longest_stall_ms") {
+        auto result = checkAtMost("longest stall in ms", totals.longestStall.count(), json.at("at_most").get<std::int64_t>());
+        result.details = this->describeLongestStall();
+        return result;
+    }
     if (expectation.name == "longest_first_token_ms")
         return checkAtMost("longest time to the first token in ms", totals.longestFirstToken.count(), json.at("at_most").get<std::int64_t>());
     if (expectation.name == "asked_again")
@@ -229,7 +232,10 @@
     const auto figure = std::to_string(totals.confirmed) + " of " + std::to_string(totals.calls) + " confirmed, run twice " + std::to_string(totals.runTwice)
         + ", wrongly \"not run\" " + std::to_string(totals.wronglyNotRun) + ", wrongly confirmed " + std::to_string(totals.wronglyConfirmed);
     const auto hasPassed = totals.confirmed >= least && totals.runTwice + totals.wronglyNotRun + totals.wronglyConfirmed == 0;
-    return { "each booking is run at most once and its answer matches the runs", figure, hasPassed };
+    std::vector<std::string> lines;
+    for (const auto& [outcome, count] : totals.outcomes)
+        lines.push_back(std::to_string(count) + " calls to " + outcome);
+    return { "each booking is run at most once and its answer matches the runs", figure, hasPassed, lines };
 }
 
 auto Replay::checkIdle(const TraceExpectation& expectation) -> ReplayResult
@@ -246,6 +252,26 @@
     return { "no engine still runs or queues a stream whose caller has ended", hasPassed ? "none" : "some", hasPassed };
 }
 
+auto Replay::timeOf(EventLoop::TimePoint moment) const -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(moment - this->startedAt).count()) + " ms";
+}
+
+auto Replay::describeLongestStall() const -> std::vector<std::string>
+{
+    const auto isShorter = [](const auto& first, const auto& second) { return first->record().longestStall < second->record().longestStall; };
+    const auto caller = std::max_element(this->callers.begin(), this->callers.end(), isShorter);
+    if (caller == this->callers.end())
+        return {};
+    const auto& record = (*caller)->record();
+    std::vector<std::string> lines { "stream " + std::to_string(caller - this->callers.begin()) + " stalled from "
+        + this->timeOf(record.longestStallEnd - record.longestStall) + " to " + this->timeOf(record.longestStallEnd) };
+    for (const auto& sent : record.sent)
+        lines.push_back("node-" + std::to_string(sent.node) + " was asked at " + this->timeOf(sent.sent) + " from offset " + std::to_string(sent.offset)
+            + ": status " + std::to_string(sent.status) + ", " + std::to_string(sent.received) + " tokens until " + this->timeOf(sent.ended));
+    return lines;
+}
+
 auto Replay::recomputedTokens() -> std::int64_t
 {
     double tokens = 0;
--- a/src/measure/promises/replay.h
+++ b/src/measure/promises/replay.h
@@ -18,6 +18,7 @@
     std::string expectation;
     std::string figure; ///< Measured value.
     bool hasPassed = false;
+    std::vector<std::string> details = {}; ///< Lines that help to explain a failure.
 };
 
 /**
@@ -56,6 +57,8 @@
     auto checkBookings(const TraceExpectation&) -> ReplayResult;
     auto checkIdle(const TraceExpectation&) -> ReplayResult;
     [[nodiscard]] auto recomputedTokens() -> std::int64_t;
+    [[nodiscard]] auto describeLongestStall() const -> std::vector<std::string>;
+    [[nodiscard]] auto timeOf(EventLoop::TimePoint) const -> std::string;
 
     const Trace& trace;
     Testkit::ClusterOptions options;
@@ -64,6 +67,7 @@
     std::vector<std::unique_ptr<Testkit::StreamCaller>> callers;
     std::vector<Arrival> arrivals; ///< Requests still to be sent, ordered by time from the latest to the earliest.
     std::map<std::string, std::int64_t> samples; ///< Number of started streams by stand-in, as recorded by the step "sample".
+    EventLoop::TimePoint startedAt; ///< Time from which the times of the trace are counted.
     std::mt19937_64 random;
     std::chrono::milliseconds idleLimit { 10'000 };
 };
--- a/src/testkit/streamcaller.cpp
+++ b/src/testkit/streamcaller.cpp
@@ -73,7 +73,10 @@
     handlers.onHeaders = [this](int answered, const HttpHeaders&) { this->status = answered; };
     handlers.onPiece = [this](std::string_view piece) { this->handlePiece(piece); };
     handlers.onDone = [this](std::error_code) { this->handleEnd(); };
-    const auto& address = this->request.nodes.at(this->nextNode++ % this->request.nodes.size());
+    const auto node = this->nextNode++ % this->request.nodes.size();
+    const auto& address = this->request.nodes.at(node);
+    const auto now = EventLoop::now();
+    this->result.sent.push_back({ node, this->result.received, 0, 0, now, now });
     this->call = this->client.httpClient().send(address, { "POST", this->request.path, "", headers, body.dump() }, options, std::move(handlers));
 }
 
@@ -109,8 +112,9 @@
     if (this->result.received == 0)
         this->result.firstToken = toMilliseconds(now - this->startedAt);
     else
-        this->result.longestStall = std::max(this->result.longestStall, toMilliseconds(now - this->lastTokenAt));
+        this->recordGap(now);
     this->lastTokenAt = now;
+    ++this->result.sent.back().received;
     if (offset != this->result.received)
         ++(offset < this->result.received ? this->result.repeats : this->result.gaps);
     if (text != this->expectedText(text))
@@ -119,6 +123,15 @@
     ++this->result.received;
 }
 
+auto StreamCaller::recordGap(EventLoop::TimePoint now) -> void
+{
+    const auto gap = toMilliseconds(now - this->lastTokenAt);
+    if (gap <= this->result.longestStall)
+        return;
+    this->result.longestStall = gap;
+    this->result.longestStallEnd = now;
+}
+
 auto StreamCaller::expectedText(const std::string& text) const -> std::string
 {
     if (!this->request.dependsOnHistory)
@@ -131,6 +144,8 @@
 auto StreamCaller::handleEnd() -> void
 {
     this->call.reset();
+    this->result.sent.back().status = this->status;
+    this->result.sent.back().ended = EventLoop::now();
     if (this->result.isComplete)
         return;
     if (this->status != 0 && this->status != HttpStatus::ok)
--- a/src/testkit/streamcaller.h
+++ b/src/testkit/streamcaller.h
@@ -22,6 +22,16 @@
     std::chrono::milliseconds idleTimeout { 10'000 }; ///< Time without a byte from the node after which the request is sent again.
 };
 
+/** One request of a stream caller. */
+struct SentRequest {
+    std::size_t node = 0; ///< Index of the node that got the request.
+    std::int64_t offset = 0; ///< Offset that was requested.
+    std::int64_t received = 0; ///< Tokens that were received in answer to it.
+    int status = 0; ///< HTTP status of the response; 0 when there was none.
+    EventLoop::TimePoint sent;
+    EventLoop::TimePoint ended; ///< Time at which the response or the wait for it ended.
+};
+
 /** The result of one stream caller. */
 struct StreamRecord {
     std::int64_t received = 0; ///< Received tokens; each one is checked.
@@ -31,6 +41,8 @@
     std::int64_t requests = 0; ///< Number of requests, with the first one.
     std::int64_t refusals = 0; ///< Responses with another status than 200.
     std::chrono::milliseconds longestStall { 0 }; ///< Longest time between two tokens, also across a repeated request.
+    EventLoop::TimePoint longestStallEnd; ///< Time of the token that ended the longest stall.
+    std::vector<SentRequest> sent; ///< All requests in the order in which they were sent.
     std::chrono::milliseconds firstToken { 0 }; ///< Time from the first request to the first token.
     bool isComplete = false; ///< The last line and all requested tokens were received.
 
@@ -67,6 +79,7 @@
     auto handlePiece(std::string_view) -> void;
     auto readLine(const std::string&) -> void;
     auto readToken(std::int64_t offset, const std::string& text) -> void;
+    auto recordGap(EventLoop::TimePoint) -> void;
     auto handleEnd() -> void;
     [[nodiscard]] auto expectedText(const std::string& text) const -> std::string;
 
