Routing: Sent long work elsewhere when all of its servers are excluded

Long streams stood still for as long as the servers set apart for long work were silent, while the other engines were idle: with recent short work LeastCostPolicy looked only among a third of the servers, and returned none when the request excluded them all (silent, failed or already running the stream). The caller of the policy had found servers outside the excluded ones, so it waited for capacity and asked again every 20 ms until one of those few came back or the caller gave up.

Ruled out: retry budget (an attempt that has begun isn't delayed by it), slots (30 and more were free on three engines), instance list and notices (all nodes had them).

Long work is now limited to its servers only while one of them isn't excluded. The limit by slots and open prompts stays as it was, for all servers.

--- a/src/libprimrosefork/leastcostpolicy.cpp
+++ b/src/libprimrosefork/leastcostpolicy.cpp
@@ -27,6 +27,12 @@
 constexpr auto recentShortWorkPeriod = 30s; ///< Period after the last short request in which long work is limited to its servers.
 constexpr auto maxLongWorkWait = 30'000ms; ///< Wait after which a long request is sent even to a server without capacity for long work.
 
+/** Returns whether one of \a servers is not among \a excluded, which may be null. */
+auto hasServerOutside(std::span<const BackendServer* const> servers, const std::set<std::string>* excluded) -> bool
+{
+    return std::any_of(servers.begin(), servers.end(), [excluded](const BackendServer* server) { return !excluded || !excluded->contains(server->id); });
+}
+
 } // namespace
 
 LeastCostPolicy::LeastCostPolicy(std::uint64_t seed)
@@ -71,7 +77,9 @@
 {
     this->lastLongWork = now;
     std::vector<Option> options;
-    this->addSample(this->hasRecentShortWork(now) ? candidates.longWorkServers() : candidates.servers(), 2 * sampledServers, options);
+    const auto preferred = candidates.longWorkServers();
+    const auto isLimited = this->hasRecentShortWork(now) && hasServerOutside(preferred, request.excluded);
+    this->addSample(isLimited ? preferred : candidates.servers(), 2 * sampledServers, options);
     if (!request.isResumed && request.waited < maxLongWorkWait)
         std::erase_if(options, [this](const Option& option) { return !this->hasLongWorkCapacity(*option.server); });
     return this->cheapest(request, candidates, options, now);
--- a/tests/routing/test_productpolicy.cpp
+++ b/tests/routing/test_productpolicy.cpp
@@ -161,6 +161,55 @@
     }
 }
 
+struct LongServersCase {
+    const char* name;
+    std::size_t excluded; ///< Number of servers for long work that are excluded.
+    bool isResumed;
+    bool isComputing; ///< Whether all servers for long work compute a prompt.
+    bool isServed; ///< Whether the request gets a server.
+    bool isLongWorkServer; ///< Whether that is one for long work.
+};
+
+// Two of six engines are for long work.
+const LongServersCase longServersCases[] = {
+    { "long work stays on its servers", 0, false, false, true, true },
+    { "a server for long work is excluded", 1, false, false, true, true },
+    { "all servers for long work are excluded", 2, false, false, true, false },
+    { "all servers for long work are excluded, resumed request", 2, true, false, true, false },
+    { "all servers for long work compute a prompt", 0, false, true, false, false },
+    { "all servers for long work compute a prompt, resumed request", 0, true, true, true, true },
+};
+
+TEST_CASE("long work gets another server when its own ones are excluded")
+{
+    for (const auto& row : longServersCases) {
+        CAPTURE(std::string(row.name));
+        const auto servers = makeServers(6);
+        const auto list = makeList(servers);
+        LeastCostPolicy policy(1);
+        policy.choose(makeRequest(1000), list, start);
+        std::set<std::string> excluded;
+        std::uint64_t id = 100;
+        for (const auto* server : list.longWorkServers()) {
+            if (excluded.size() < row.excluded)
+                excluded.insert(server->id);
+            if (row.isComputing)
+                policy.requestSent(makeRequest(id++, WorkClass::Long), *server, start);
+        }
+        auto request = makeRequest(1, WorkClass::Long);
+        request.excluded = &excluded;
+        request.isResumed = row.isResumed;
+
+        const auto* chosen = policy.choose(request, list, start + 1s);
+
+        CHECK((chosen != nullptr) == row.isServed);
+        if (chosen) {
+            CHECK_FALSE(excluded.contains(chosen->id));
+            CHECK(list.isLongWorkServer(*chosen) == row.isLongWorkServer);
+        }
+    }
+}
+
 TEST_CASE("prompts of long work are computed one at a time")
 {
     const auto servers = makeServers(1);
