Routing: Counted short and long work apart for engines and plain services

A booking kept long streams on a third of the engines for 30 s, although it runs at a plain service: LeastCostPolicy noted every short request as recent short work, the calls of plain routes as well, which are short unless their route says otherwise. The other way round a long stream made calls avoid a third of the plain services. So new long streams waited for one prompt at a time on a few engines while the others stood idle.

The last short and long requests are now kept by the kind of the servers that run them. Two services whose engines are in different pools still share one time.

--- a/src/libprimrosefork/leastcostpolicy.cpp
+++ b/src/libprimrosefork/leastcostpolicy.cpp
@@ -62,10 +62,11 @@
     if (request.workClass == WorkClass::Long)
         return this->chooseForLong(request, candidates, now);
 
-    this->lastShortWork = now;
+    const auto kind = candidates.servers().front()->kind;
+    this->lastShortWork[kind] = now;
     std::vector<Option> options;
     options.reserve(maxPreferred + 2 * sampledServers);
-    const auto filter = this->hasRecentLongWork(now) ? RingFilter::ShortWorkOnly : RingFilter::All;
+    const auto filter = this->hasRecentLongWork(kind, now) ? RingFilter::ShortWorkOnly : RingFilter::All;
     for (const auto& preferred : this->prefixes.preferred(request.prefixBlocks, request.promptTokens, candidates, filter, maxPreferred))
         options.push_back({ preferred.server, preferred.cachedTokens });
     this->addSample(candidates.inZone(request.zone), sampledServers / 2, options);
@@ -75,24 +76,27 @@
 
 auto LeastCostPolicy::chooseForLong(const RoutingRequest& request, const CandidateList& candidates, TimePoint now) -> const BackendServer*
 {
-    this->lastLongWork = now;
+    const auto kind = candidates.servers().front()->kind;
+    this->lastLongWork[kind] = now;
     std::vector<Option> options;
     const auto preferred = candidates.longWorkServers();
-    const auto isLimited = this->hasRecentShortWork(now) && hasServerOutside(preferred, request.excluded);
+    const auto isLimited = this->hasRecentShortWork(kind, now) && hasServerOutside(preferred, request.excluded);
     this->addSample(isLimited ? preferred : candidates.servers(), 2 * sampledServers, options);
     if (!request.isResumed && request.waited < maxLongWorkWait)
         std::erase_if(options, [this](const Option& option) { return !this->hasLongWorkCapacity(*option.server); });
     return this->cheapest(request, candidates, options, now);
 }
 
-auto LeastCostPolicy::hasRecentLongWork(TimePoint now) const -> bool
+auto LeastCostPolicy::hasRecentLongWork(BackendKind kind, TimePoint now) const -> bool
 {
-    return this->lastLongWork && (this->work.openLongRequests() > 0 || now - *this->lastLongWork < recentLongWorkPeriod);
+    const auto last = this->lastLongWork.find(kind);
+    return last != this->lastLongWork.end() && (this->work.openLongRequests() > 0 || now - last->second < recentLongWorkPeriod);
 }
 
-auto LeastCostPolicy::hasRecentShortWork(TimePoint now) const -> bool
+auto LeastCostPolicy::hasRecentShortWork(BackendKind kind, TimePoint now) const -> bool
 {
-    return this->lastShortWork && now - *this->lastShortWork < recentShortWorkPeriod;
+    const auto last = this->lastShortWork.find(kind);
+    return last != this->lastShortWork.end() && now - last->second < recentShortWorkPeriod;
 }
 
 auto LeastCostPolicy::hasLongWorkCapacity(const BackendServer& server) const -> bool
@@ -149,7 +153,7 @@
     cost += Cost(recomputeWeight * uncached / prefillTokensPerMillisecond);
     if (server.zone != request.zone)
         cost += otherZoneCost;
-    if (isShort && this->hasRecentLongWork(now) && candidates.isLongWorkServer(server))
+    if (isShort && this->hasRecentLongWork(server.kind, now) && candidates.isLongWorkServer(server))
         cost += longWorkServerCost;
     const auto slowness = this->slowdowns.slowness(server);
     if (slowness > 1)
--- a/src/libprimrosefork/leastcostpolicy.h
+++ b/src/libprimrosefork/leastcostpolicy.h
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -53,8 +53,8 @@
     auto cheapest(const RoutingRequest&, const CandidateList&, std::span<const Option>, TimePoint) -> const BackendServer*;
     [[nodiscard]] auto costOf(const RoutingRequest&, const CandidateList&, const Option&, TimePoint) -> Cost;
     [[nodiscard]] auto queueCost(const BackendServer&) const -> Cost;
-    [[nodiscard]] auto hasRecentLongWork(TimePoint) const -> bool;
-    [[nodiscard]] auto hasRecentShortWork(TimePoint) const -> bool;
+    [[nodiscard]] auto hasRecentLongWork(BackendKind, TimePoint) const -> bool;
+    [[nodiscard]] auto hasRecentShortWork(BackendKind, TimePoint) const -> bool;
     [[nodiscard]] auto hasLongWorkCapacity(const BackendServer&) const -> bool;
     auto randomCost() -> Cost;
 
@@ -63,8 +63,8 @@
     PrefixAffinity prefixes;
     std::minstd_rand random;
     std::size_t nodeCount = 1;
-    std::optional<TimePoint> lastLongWork;
-    std::optional<TimePoint> lastShortWork;
+    std::map<BackendKind, TimePoint> lastLongWork; ///< Time of the last long request by the kind of its servers.
+    std::map<BackendKind, TimePoint> lastShortWork; ///< Time of the last short request by the kind of its servers.
 };
 
 } // namespace Primrosefork
--- a/tests/routing/test_productpolicy.cpp
+++ b/tests/routing/test_productpolicy.cpp
@@ -163,6 +163,7 @@
 
 struct LongServersCase {
     const char* name;
+    BackendKind shortKind; ///< Kind of the servers that run short work.
     std::size_t excluded; ///< Number of servers for long work that are excluded.
     bool isResumed;
     bool isComputing; ///< Whether all servers for long work compute a prompt.
@@ -172,22 +173,26 @@
 
 // Two of six engines are for long work.
 const LongServersCase longServersCases[] = {
-    { "long work stays on its servers", 0, false, false, true, true },
-    { "a server for long work is excluded", 1, false, false, true, true },
-    { "all servers for long work are excluded", 2, false, false, true, false },
-    { "all servers for long work are excluded, resumed request", 2, true, false, true, false },
-    { "all servers for long work compute a prompt", 0, false, true, false, false },
-    { "all servers for long work compute a prompt, resumed request", 0, true, true, true, true },
+    { "short work at engines: long work stays on its servers", BackendKind::Engine, 0, false, false, true, true },
+    { "a server for long work is excluded", BackendKind::Engine, 1, false, false, true, true },
+    { "all servers for long work are excluded", BackendKind::Engine, 2, false, false, true, false },
+    { "all servers for long work are excluded, resumed request", BackendKind::Engine, 2, true, false, true, false },
+    { "all servers for long work compute a prompt", BackendKind::Engine, 0, false, true, false, false },
+    { "all servers for long work compute a prompt, resumed request", BackendKind::Engine, 0, true, true, true, true },
+    { "short work at plain services, servers for long work compute a prompt", BackendKind::Plain, 0, false, true, true, false },
 };
 
-TEST_CASE("long work gets another server when its own ones are excluded")
+TEST_CASE("long work gets another server when its own ones are excluded or no short work needs the others")
 {
     for (const auto& row : longServersCases) {
         CAPTURE(std::string(row.name));
         const auto servers = makeServers(6);
         const auto list = makeList(servers);
+        auto shortServers = makeServers(2);
+        for (auto& server : shortServers)
+            server.kind = row.shortKind;
         LeastCostPolicy policy(1);
-        policy.choose(makeRequest(1000), list, start);
+        policy.choose(makeRequest(1000), makeList(shortServers), start);
         std::set<std::string> excluded;
         std::uint64_t id = 100;
         for (const auto* server : list.longWorkServers()) {
@@ -247,6 +252,21 @@
         CHECK_FALSE(list.isLongWorkServer(*policy.choose(makeRequest(id), list, start)));
 }
 
+TEST_CASE("calls of plain services do not avoid servers for long work after a long request at an engine")
+{
+    const auto engines = makeServers(6);
+    auto services = makeServers(6);
+    for (auto& service : services)
+        service.kind = BackendKind::Plain;
+    const auto list = makeList(services);
+    LeastCostPolicy policy(1);
+    policy.choose(makeRequest(1, WorkClass::Long), makeList(engines), start);
+    int sentToLongWorkServers = 0;
+    for (std::uint64_t id = 2; id < 62; ++id)
+        sentToLongWorkServers += list.isLongWorkServer(*policy.choose(makeRequest(id), list, start)) ? 1 : 0;
+    CHECK(sentToLongWorkServers > 0);
+}
+
 TEST_CASE("a slow server is sent nothing but probes")
 {
     const auto servers = makeServers(6);
