Configuration: Asked the store more often while nothing is in force

A node that started in an outage of the store went on refusing every request as "not_ready" for up to 3 s after the store was back: the delay before the next listing grows to 2 s, half as much more by chance, also for a node that has no configuration at all. It is now 500 ms at most until a first configuration is in force, from the store or a peer; afterwards as before. A fleet of 340 that starts in an outage makes about 680 calls a second in place of 170 until it has one.

Ruled out: the claims (they recover with the first call that is granted), admission.

--- a/src/node/configurationcontroller.cpp
+++ b/src/node/configurationcontroller.cpp
@@ -16,7 +16,8 @@
 
 constexpr auto controllerName = "ConfigurationController";
 constexpr auto firstRetryDelay = 200ms;
-constexpr auto longestRetryDelay = 2s;
+constexpr std::chrono::milliseconds longestRetryDelay = 2s;
+constexpr std::chrono::milliseconds longestStartDelay = 500ms; ///< Longest delay while nothing is in force, as the node serves no request until then.
 constexpr auto watchDelay = 200ms; ///< Pause before the next watch after a listing or a change, so that a burst of changes costs few calls.
 
 auto withJitter(std::chrono::milliseconds delay) -> std::chrono::milliseconds
@@ -185,7 +186,7 @@
 {
     if (std::exchange(this->isStoreAvailable, false))
         this->log.write(Event::StoreUnavailable, { { "error", error.message() } });
-    this->retryDelay = std::clamp<std::chrono::milliseconds>(this->retryDelay * 2, firstRetryDelay, longestRetryDelay);
+    this->retryDelay = std::clamp<std::chrono::milliseconds>(this->retryDelay * 2, firstRetryDelay, this->hasApplied ? longestRetryDelay : longestStartDelay);
     this->timer.start(withJitter(this->retryDelay));
 }
 
