Streams: Treated a request with an offset as one that goes on

A caller whose node had gone asked another node for the rest of its answer and stood in the queue of new long work there, for up to 30 s, while a stream that had begun at that node took any server. ModelRun told the routing and the retry policy "resumed" and "delivered" by the tokens that this node had sent, not by those that the caller has, which is what both ask for; a request that names an offset has a part.

Test: a case of test_stops, one engine with one slot for long work, its other stream open at the second node when the first one is killed.

--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -116,7 +116,7 @@
     result.prefixHash = this->prefixBlocks.empty() ? 0 : this->prefixBlocks.front();
     result.prefixBlocks = this->prefixBlocks;
     result.waited = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - this->request.received);
-    result.isResumed = this->nextOffset > this->request.offset;
+    result.isResumed = this->nextOffset > 0;
     result.priority = this->request.service.parameters.priority;
     result.zone = this->context.settings.zone;
     return result;
@@ -124,7 +124,7 @@
 
 auto ModelRun::retryRequest(int failedAttempts) const -> RetryRequest
 {
-    return { failedAttempts, this->request.deadline, this->nextOffset > this->request.offset };
+    return { failedAttempts, this->request.deadline, this->nextOffset > 0 };
 }
 
 auto ModelRun::runningServers() const -> std::set<std::string>
--- a/tests/streams/test_stops.cpp
+++ b/tests/streams/test_stops.cpp
@@ -72,6 +72,27 @@
     }
 }
 
+TEST_CASE("an answer goes on at another node that has no capacity for new long work")
+{
+    ClusterOptions options;
+    options.nodes = 2;
+    options.engines = 1;
+    options.engine = { { "slots", 2 } }; // One of them is for long work.
+    Cluster cluster(options);
+    REQUIRE(cluster.start());
+    Callers callers;
+    addCaller(callers, cluster, { 0, 1 }, 300);
+    addCaller(callers, cluster, { 0, 1 }, 500);
+    REQUIRE(cluster.client().waitUntil([&] { return haveAllBegun(callers); }, 20s));
+
+    cluster.node(0).sendSignal(SIGKILL);
+
+    REQUIRE(cluster.client().waitUntil([&] { return areAllComplete(callers); }, 60s));
+    checkAnswers(callers);
+    CHECK(Testkit::totalsOf(callers).requests == 3);
+    CHECK(Testkit::totalsOf(callers).longestStall.count() <= maxStallMilliseconds);
+}
+
 TEST_CASE("a node that receives SIGTERM twice while it starts exits within 5 s")
 {
     ClusterOptions options;
