Streams: Checked a silent attempt again when its limit ends, not a limit later

A stream whose engine fell silent went on elsewhere after 1.0 s in about half of the cases, not after 0.5 s. The timer of the check is started while a batch of tokens is read, and libevent counts its delay from the beginning of that turn of the loop; so it expires up to a millisecond before the attempt counts as stalled, found it not stalled, and waited a whole limit again.

Ruled out: the retry policy (it grants these at once), the event loop's order of input and timers (all streams of the node were late by the same half second).

StreamPace says when an attempt will have stalled, and the timer runs to then. A limit is counted from the resumption when the stream was paused for its caller, as it was by the timer before.

--- a/src/libprimrosefork/streampace.cpp
+++ b/src/libprimrosefork/streampace.cpp
@@ -35,6 +35,11 @@
     this->lastPiece = now;
 }
 
+auto StreamPace::resumed(TimePoint now) -> void
+{
+    this->lastPiece = now;
+}
+
 auto StreamPace::stallTimeout() const -> std::chrono::microseconds
 {
     if (!this->hasBegun)
--- a/src/libprimrosefork/streampace.h
+++ b/src/libprimrosefork/streampace.h
@@ -18,17 +18,23 @@
 
     auto pieceReceived(TimePoint now) -> void;
 
+    /** Counts the stall timeout from \a now on, as the engine was kept from sending until then. */
+    auto resumed(TimePoint now) -> void;
+
     /** Returns the smoothed time between two pieces. */
     [[nodiscard]] auto tokenGap() const -> std::chrono::microseconds { return this->smoothedGap; }
 
     /** Returns whether no piece of the attempt has arrived within the stall timeout at \a now. */
-    [[nodiscard]] auto isStalled(TimePoint now) const -> bool { return now - this->lastPiece >= this->stallTimeout(); }
+    [[nodiscard]] auto isStalled(TimePoint now) const -> bool { return now >= this->stallTime(); }
+
+    /** Returns when the attempt will have stalled if no piece arrives until then. */
+    [[nodiscard]] auto stallTime() const -> TimePoint { return this->lastPiece + this->stallTimeout(); }
 
     /** Returns how long the attempt may deliver no piece, counted from its last piece or from its start. */
     [[nodiscard]] auto stallTimeout() const -> std::chrono::microseconds;
 
 private:
-    TimePoint lastPiece;
+    TimePoint lastPiece; ///< Time of the last piece, or of the start or the last resumption if that was later.
     std::int64_t prefillTokens;
     std::chrono::microseconds smoothedGap;
     bool hasBegun = false;
--- a/src/node/modelrun.cpp
+++ b/src/node/modelrun.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds serverPollPeriod = 50ms; ///< Time between two checks for a backend server while there is no candidate.
 constexpr std::chrono::milliseconds serverWaitLimit = 10s; ///< Longest wait for a candidate, as long as the answer has not begun.
 constexpr std::chrono::microseconds silenceCheckPeriod = 100ms; ///< Time between two checks of an attempt without a token, since other streams may have found its engine silent.
+constexpr std::chrono::microseconds minSilenceDelay = 1ms; ///< Shortest delay before an attempt without a token is checked again.
 constexpr std::chrono::milliseconds ungrantedRetryDelay = 250ms; ///< Delay before the next attempt of a begun answer when the retry policy denies one.
 constexpr int maxFailuresInRow = 16; ///< Consecutive failures without a token after which a begun answer is cut off.
 
@@ -336,8 +337,11 @@
         return;
     }
     const auto& awaited = this->second ? *this->second : *this->first;
-    const auto limit = awaited.pace().stallTimeout();
-    this->silenceTimer.start(awaited.hasBegun() ? limit : std::min(limit, silenceCheckPeriod));
+    const auto now = EventLoop::now();
+    const auto stallTime = awaited.pace().stallTime();
+    // A timer may expire a little before the time at which the attempt counts as stalled.
+    const auto remaining = stallTime > now ? std::max(timerDelay(stallTime - now), minSilenceDelay) : silenceCheckPeriod;
+    this->silenceTimer.start(awaited.hasBegun() ? remaining : std::min(remaining, silenceCheckPeriod));
 }
 
 auto ModelRun::isSilent(const StreamAttempt& attempt) const -> bool
--- a/src/node/streamattempt.cpp
+++ b/src/node/streamattempt.cpp
@@ -72,6 +72,7 @@
 {
     if (this->hasEnded || !std::exchange(this->hasPaused, false))
         return;
+    this->streamPace.resumed(EventLoop::now());
     this->generation->resume();
 }
 
--- a/tests/streams/test_streampolicies.cpp
+++ b/tests/streams/test_streampolicies.cpp
@@ -124,6 +124,36 @@
     }
 }
 
+struct ResumeCase {
+    std::string name;
+    std::chrono::milliseconds piece; ///< Arrival time of the last piece, after the start.
+    std::chrono::milliseconds resumed; ///< Time of the last resumption, after the start; 0 for none.
+    std::chrono::milliseconds stallTime; ///< Time from which the attempt counts as stalled, after the start.
+};
+
+const ResumeCase resumeCases[] = {
+    { "counted from the last piece", 300ms, 0ms, 800ms },
+    { "counted from the resumption after it", 300ms, 5000ms, 5500ms },
+    { "counted from a piece after the resumption", 6000ms, 5000ms, 6500ms },
+};
+
+TEST_CASE("the silence limit is counted from the last piece or from a resumption after it")
+{
+    for (const auto& row : resumeCases) {
+        CAPTURE(std::string(row.name));
+        const TimePoint sent { 1h };
+        StreamPace pace(sent, 0);
+        if (row.resumed < row.piece && row.resumed > 0ms)
+            pace.resumed(sent + row.resumed);
+        pace.pieceReceived(sent + row.piece);
+        if (row.resumed > row.piece)
+            pace.resumed(sent + row.resumed);
+        CHECK(pace.stallTime() == sent + row.stallTime);
+        CHECK_FALSE(pace.isStalled(sent + row.stallTime - 1ms));
+        CHECK(pace.isStalled(sent + row.stallTime));
+    }
+}
+
 enum class ServerEvent {
     FoundSilent,
     AttemptStarted,
--- a/tests/streams/test_streams.cpp
+++ b/tests/streams/test_streams.cpp
@@ -97,6 +97,32 @@
     }
 }
 
+TEST_CASE("a silent engine is found within the limit of one silence, however often one falls silent")
+{
+    constexpr std::int64_t maxSilenceMilliseconds = 970; // 0.5 s without a token, 0.1 s until the next check and 0.37 s to the first token of another engine.
+    constexpr std::size_t rounds = 6;
+    ClusterOptions options;
+    options.engine = { { "slots", 20 } };
+    Cluster cluster(options);
+    REQUIRE(cluster.start());
+    Callers callers;
+    for (int index = 0; index < 9; ++index)
+        addCaller(callers, cluster, { 0 }, 500);
+    REQUIRE(cluster.client().waitUntil([&] { return haveAllBegun(callers); }, 10s));
+
+    for (std::size_t round = 0; round < rounds; ++round) {
+        const auto engine = cluster.engineAddress(round % options.engines);
+        cluster.control(engine, { { "frozen", true } });
+        runFor(cluster, 1200ms);
+        cluster.control(engine, { { "frozen", false } });
+    }
+
+    REQUIRE(cluster.client().waitUntil([&] { return areAllComplete(callers); }, 40s));
+    checkAnswers(callers);
+    CHECK(Testkit::totalsOf(callers).requests == 9);
+    CHECK(Testkit::totalsOf(callers).longestStall.count() <= maxSilenceMilliseconds);
+}
+
 TEST_CASE("streams stall no longer than the limit when the process of their engine stops")
 {
     ClusterOptions options;
