--- a/src/libprimrosefork/leastcostpolicy.cpp
+++ b/src/libprimrosefork/leastcostpolicy.cpp
@@ -27,6 +27,12 @@
 constexpr auto recentShortWorkPeriod = 30s; ///< Period after the last short request in which long work is limited to its servers.
 constexpr auto maxLongWorkWait = 30'000ms; ///< Wait after which a long request is sent even to a server without capacity for long work.
 
+/** Returns whether one of \a servers is not among \a excluded, which may be null. */
+auto hasServerOutside(std::span<const BackendServer* const> servers, const std::set<std::string>* excluded) -> bool
+{
+    return std::any_of(servers.begin(), servers.end(), [excluded](const BackendServer* server) { return !excluded || !excluded->contains(server->id); });
+}
+
 } // namespace
 
 LeastCostPolicy::LeastCostPolicy(std::uint64_t seed)
@@ -56,10 +62,11 @@
     if (request.workClass == WorkClass::Long)
         return this->chooseForLong(request, candidates, now);
 
-    this->lastShortWork = now;
+    const auto kind = candidates.servers().front()->kind;
+    this->lastShortWork[kind] = now;
     std::vector<Option> options;
     options.reserve(maxPreferred + 2 * sampledServers);
-    const auto filter = this->hasRecentLongWork(now) ? RingFilter::ShortWorkOnly : RingFilter::All;
+    const auto filter = this->hasRecentLongWork(kind, now) ? RingFilter::ShortWorkOnly : RingFilter::All;
     for (const auto& preferred : this->prefixes.preferred(request.prefixBlocks, request.promptTokens, candidates, filter, maxPreferred))
         options.push_back({ preferred.server, preferred.cachedTokens });
     this->addSample(candidates.inZone(request.zone), sampledServers / 2, options);
@@ -69,22 +76,27 @@
 
 auto LeastCostPolicy::chooseForLong(const RoutingRequest& request, const CandidateList& candidates, TimePoint now) -> const BackendServer*
 {
-    this->lastLongWork = now;
+    const auto kind = candidates.servers().front()->kind;
+    this->lastLongWork[kind] = now;
     std::vector<Option> options;
-    this->addSample(this->hasRecentShortWork(now) ? candidates.longWorkServers() : candidates.servers(), 2 * sampledServers, options);
+    const auto preferred = candidates.longWorkServers();
+    const auto isLimited = this->hasRecentShortWork(kind, now) && hasServerOutside(preferred, request.excluded);
+    this->addSample(isLimited ? preferred : candidates.servers(), 2 * sampledServers, options);
     if (!request.isResumed && request.waited < maxLongWorkWait)
         std::erase_if(options, [this](const Option& option) { return !this->hasLongWorkCapacity(*option.server); });
     return this->cheapest(request, candidates, options, now);
 }
 
-auto LeastCostPolicy::hasRecentLongWork(TimePoint now) const -> bool
+auto LeastCostPolicy::hasRecentLongWork(BackendKind kind, TimePoint now) const -> bool
 {
-    return this->lastLongWork && (this->work.openLongRequests() > 0 || now - *this->lastLongWork < recentLongWorkPeriod);
+    const auto last = this->lastLongWork.find(kind);
+    return last != this->lastLongWork.end() && (this->work.openLongRequests() > 0 || now - last->second < recentLongWorkPeriod);
 }
 
-auto LeastCostPolicy::hasRecentShortWork(TimePoint now) const -> bool
+auto LeastCostPolicy::hasRecentShortWork(BackendKind kind, TimePoint now) const -> bool
 {
-    return this->lastShortWork && now - *this->lastShortWork < recentShortWorkPeriod;
+    const auto last = this->lastShortWork.find(kind);
+    return last != this->lastShortWork.end() && now - last->second < recentShortWorkPeriod;
 }
 
 auto LeastCostPolicy::hasLongWorkCapacity(const BackendServer& server) const -> bool
@@ -141,7 +153,7 @@
     cost += Cost(recomputeWeight * uncached / prefillTokensPerMillisecond);
     if (server.zone != request.zone)
         cost += otherZoneCost;
-    if (isShort && this->hasRecentLongWork(now) && candidates.isLongWorkServer(server))
+    if (isShort && this->hasRecentLongWork(server.kind, now) && candidates.isLongWorkServer(server))
         cost += longWorkServerCost;
     const auto slowness = this->slowdowns.slowness(server);
     if (slowness > 1)
--- a/tests/routing/test_productpolicy.cpp
+++ b/tests/routing/test_productpolicy.cpp
@@ -161,6 +161,60 @@
     }
 }
 
+struct LongServersCase {
+    const char* name;
+    BackendKind shortKind; ///< Kind of the servers that run short work.
+    std::size_t excluded; ///< Number of servers for long work that are excluded.
+    bool isResumed;
+    bool isComputing; ///< Whether all servers for long work compute a prompt.
+    bool isServed; ///< Whether the request gets a server.
+    bool isLongWorkServer; ///< Whether that is one for long work.
+};
+
+// Two of six engines are for long work.
+const LongServersCase longServersCases[] = {
+    { "short work at engines: long work stays on its servers", BackendKind::Engine, 0, false, false, true, true },
+    { "a server for long work is excluded", BackendKind::Engine, 1, false, false, true, true },
+    { "all servers for long work are excluded", BackendKind::Engine, 2, false, false, true, false },
+    { "all servers for long work are excluded, resumed request", BackendKind::Engine, 2, true, false, true, false },
+    { "all servers for long work compute a prompt", BackendKind::Engine, 0, false, true, false, false },
+    { "all servers for long work compute a prompt, resumed request", BackendKind::Engine, 0, true, true, true, true },
+    { "short work at plain services, servers for long work compute a prompt", BackendKind::Plain, 0, false, true, true, false },
+};
+
+TEST_CASE("long work gets another server when its own ones are excluded or no short work needs the others")
+{
+    for (const auto& row : longServersCases) {
+        CAPTURE(std::string(row.name));
+        const auto servers = makeServers(6);
+        const auto list = makeList(servers);
+        auto shortServers = makeServers(2);
+        for (auto& server : shortServers)
+            server.kind = row.shortKind;
+        LeastCostPolicy policy(1);
+        policy.choose(makeRequest(1000), makeList(shortServers), start);
+        std::set<std::string> excluded;
+        std::uint64_t id = 100;
+        for (const auto* server : list.longWorkServers()) {
+            if (excluded.size() < row.excluded)
+                excluded.insert(server->id);
+            if (row.isComputing)
+                policy.requestSent(makeRequest(id++, WorkClass::Long), *server, start);
+        }
+        auto request = makeRequest(1, WorkClass::Long);
+        request.excluded = &excluded;
+        request.isResumed = row.isResumed;
+
+        const auto* chosen = policy.choose(request, list, start + 1s);
+
+        CHECK((chosen != nullptr) == row.isServed);
+        if (chosen) {
+            CHECK_FALSE(excluded.contains(chosen->id));
+            CHECK(list.isLongWorkServer(*chosen) == row.isLongWorkServer);
+        }
+    }
+}
+
 TEST_CASE("prompts of long work are computed one at a time")
 {
     const auto servers = makeServers(1);
@@ -198,6 +252,21 @@
         CHECK_FALSE(list.isLongWorkServer(*policy.choose(makeRequest(id), list, start)));
 }
 
+TEST_CASE("calls of plain services do not avoid servers for long work after a long request at an engine")
+{
+    const auto engines = makeServers(6);
+    auto services = makeServers(6);
+    for (auto& service : services)
+        service.kind = BackendKind::Plain;
+    const auto list = makeList(services);
+    LeastCostPolicy policy(1);
+    policy.choose(makeRequest(1, WorkClass::Long), makeList(engines), start);
+    int sentToLongWorkServers = 0;
+    for (std::uint64_t id = 2; id < 62; ++id)
+        sentToLongWorkServers += list.isLongWorkServer(*policy.choose(makeRequest(id), list, start)) ? 1 : 0;
+    CHECK(sentToLongWorkServers > 0);
+}
+
 TEST_CASE("a slow server is sent nothing but probes")
 {
     const auto servers = makeServers(6);
