Forwarding: Counted streams without an event as broken off

Callers saw: an event stream with neither a length nor chunks, whose server ended before the first event, was answered with 200 and an empty body, as if it were whole. A prompt part on which servers crashed in this way, or inside the first event of such a stream, was never refused.

Cause: the end of the connection completes a response without a length. A partial event was noticed, but the attempt then ended with the outcome "complete", which is no loss; without any event the prompt even counted as begun, which clears the evidence of its parts.

Ruled out: streams in chunks and bodies with a length, which end truncated (their rows pass before the change); a stream without a length that ends after an event, which can't be told from a whole one.

Change: such a response has the outcome "truncated". ForwardRun keeps whether the response ends with its connection.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -163,6 +163,7 @@
     current.headers = head.headers;
     current.reply = reply;
     current.isEventStream = head.status == HttpStatus::ok && isEventStream(head.headers);
+    current.endsWithConnection = !head.hasLength;
     if (reply.load)
         this->context.policy.loadObserved(current.server, *reply.load, EventLoop::now());
     this->context.servers.replyReceived(current.server, reply);
@@ -214,11 +215,13 @@
 {
     auto& current = *this->attempt;
     current.call.reset();
+    if (outcome == CallOutcome::Complete && current.isBrokenOff())
+        outcome = CallOutcome::Truncated;
     const auto hasResponse = outcome == CallOutcome::Complete && current.body.size() <= maxBufferedResponse;
     if (hasResponse && current.reply.isNotRun)
         return this->attemptRefused(current);
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
-    const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding") && !current.events.hasPartialEvent();
+    const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding");
     if (hasResponse && isSuccess && isIntact && !current.hasEvent)
         this->context.prompts.attemptBegan(this->details.service->name, this->details.fields.promptParts, EventLoop::now());
     if (hasResponse && (!isSuccess || isIntact))
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -23,7 +23,11 @@
     std::string body; ///< Body of a response that is not an event stream.
     EventSplitter events;
     bool isEventStream = false;
+    bool endsWithConnection = false; ///< Whether the response has neither a length nor chunks.
     bool hasEvent = false;
+
+    /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
+    [[nodiscard]] auto isBrokenOff() const -> bool { return this->isEventStream && (this->events.hasPartialEvent() || (this->endsWithConnection && !this->hasEvent)); }
 };
 
 /**
--- a/tests/gateway/test_forwarding.cpp
+++ b/tests/gateway/test_forwarding.cpp
@@ -243,6 +243,35 @@
     CHECK(fixture.requestCount() == 1);
 }
 
+struct ConnectionEndCase {
+    const char* name;
+    const char* events; ///< What the server sends after the head, before it closes the connection.
+    const char* status;
+    bool isComplete;
+};
+
+const ConnectionEndCase connectionEndCases[] = {
+    { "after an event", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "HTTP/1.1 200", true },
+    { "inside an event", "id: 1\ndata: a\n\nid: 2\nda", "HTTP/1.1 200", false },
+    { "inside the first event", "id: 1\nda", "HTTP/1.1 502", false },
+    { "before the first event", "", "HTTP/1.1 502", false },
+};
+
+TEST_CASE("a stream that ends with its connection is complete only after an event")
+{
+    for (const auto& row : connectionEndCases) {
+        INFO(std::string(row.name));
+        const auto script = [&row](const std::string& request) -> ScriptedAnswer {
+            return { "HTTP/1.1 200 X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n" + row.events, true };
+        };
+        ForwardingFixture fixture("llm", script);
+        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/stream/", "r1"));
+        CHECK(statusOf(answer) == row.status);
+        CHECK(answer.ends_with("0\r\n\r\n") == row.isComplete);
+        CHECK(answer.find("id: 2\nda\n") == std::string::npos);
+    }
+}
+
 TEST_CASE("a resumable stream continues on another engine without missing or repeated events")
 {
     auto isFirst = std::make_shared<bool>(true);
--- a/tests/gateway/test_quarantine.cpp
+++ b/tests/gateway/test_quarantine.cpp
@@ -20,26 +20,30 @@
 
 constexpr auto deadlyParts = "X-Prompt-Prefix: a1:800,dead:410,e4:250\r\n";
 
-/** A node with servers that close the connection without an answer on prompts with one part. */
+/** A node with servers that close the connection on prompts with one part, after a beginning of an answer. */
 struct QuarantineFixture : GatewayFixture {
-    explicit QuarantineFixture(const std::string& record = "")
+    /** \a beginning follows the status line and the id in the answer to such prompts; nothing is sent when it is empty. */
+    explicit QuarantineFixture(const std::string& record = "", const std::string& service = "app", const std::string& beginning = "")
     {
-        const auto script = [](const std::string& request) -> ScriptedAnswer {
-            if (request.find("dead:410") != std::string::npos)
-                return { "", true };
-            return { GatewayFixture::answerTo(request, 200, "hello") };
+        const auto script = [beginning](const std::string& request) -> ScriptedAnswer {
+            if (request.find("dead:410") == std::string::npos)
+                return { GatewayFixture::answerTo(request, 200, "hello") };
+            return { beginning.empty() ? "" : "HTTP/1.1 200 X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n" + beginning, true };
         };
         this->configure(1);
         if (!record.empty())
             this->platform.put("primrosefork/quarantine", record);
         for (int index = 0; index < serverCount; ++index) {
             this->servers.push_back(std::make_unique<ScriptedServer>(this->loop, Address { "127.0.0.1", static_cast<std::uint16_t>(firstPort + index) }, script));
-            this->registerServer("i-" + std::to_string(index), "app", firstPort + index);
+            this->registerServer("i-" + std::to_string(index), service, firstPort + index);
         }
         REQUIRE(this->start());
     }
 
-    auto send(const std::string& parts) -> std::string { return this->sendRequest(GatewayFixture::makeRequest("/once/", "r" + std::to_string(this->nextId++), parts)); }
+    auto send(const std::string& parts, const std::string& prefix = "/once/") -> std::string
+    {
+        return this->sendRequest(GatewayFixture::makeRequest(prefix, "r" + std::to_string(this->nextId++), parts));
+    }
 
     [[nodiscard]] auto deadlyArrivals() const -> int
     {
@@ -95,6 +99,42 @@
     CHECK(fixture.platform.valueOf("primrosefork/quarantine").find("dead") != std::string::npos);
 }
 
+constexpr auto streamHead = "Content-Type: text/event-stream\r\n\r\n";
+constexpr auto chunkedStreamHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+struct BeginningCase {
+    const char* name;
+    const char* service;
+    const char* prefix;
+    std::string beginning; ///< What a server sends before it crashes.
+};
+
+const BeginningCase beginningCases[] = {
+    { "the head and a part of the body", "app", "/once/", "Content-Length: 5\r\n\r\nhel" },
+    { "the head of a stream in chunks", "llm", "/stream/", chunkedStreamHead },
+    { "the head of a stream that ends with its connection", "llm", "/stream/", streamHead },
+    { "a part of the first event in chunks", "llm", "/stream/", std::string(chunkedStreamHead) + "9\r\nid: 1\ndat\r\n" },
+    { "a part of the first event of a stream that ends with its connection", "llm", "/stream/", std::string(streamHead) + "id: 1\ndat" },
+};
+
+// Guards against a crash that counts as the begin of an answer, so that the part is never found.
+TEST_CASE("a prompt part is refused however far the answers came before the servers crashed")
+{
+    for (const auto& row : beginningCases) {
+        INFO(std::string(row.name));
+        QuarantineFixture fixture("", row.service, row.beginning);
+        for (int round = 0; round < rounds; ++round) {
+            fixture.send(deadlyParts, row.prefix);
+            for (int sound = 0; sound < soundPerRound; ++sound)
+                CHECK(fixture.send(soundCases[0].parts, row.prefix).starts_with("HTTP/1.1 200"));
+            fixture.runFor(roundPause);
+        }
+        fixture.runFor(contact);
+        CHECK(fixture.send(deadlyParts, row.prefix).starts_with("HTTP/1.1 503"));
+        CHECK(fixture.send(soundCases[0].parts, row.prefix).starts_with("HTTP/1.1 200"));
+    }
+}
+
 struct RecordCase {
     const char* name;
     const char* record; ///< What the store holds when the node starts.
