Forwarding: Counted streams cut just after their first event as lost

Callers saw: a prompt part on which servers crash just after they have sent the first event, or inside the second one, was never refused; server upon server ended.

Cause: the first event counted as a begin, which clears the evidence of all parts of the prompt, on that node and with the coordinator. An engine that crashes as it begins to write may have sent an event by then.

Change: a prompt counts as begun when its answer is complete or has gone on for 0.5 s after the first event. An attempt that is cut before that is a loss, but not one whose run was stopped for a move.

Tests: the two rows of quarantine with a first event failed before (2 of 447 checks), now none; forwarding (133 checks) and moves (33) pass.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds noServerRetryDelay = 300ms; ///< Retry-After when no server is available; short, because engines start and leave within seconds.
 constexpr std::chrono::milliseconds moveMargin = 300ms; ///< Time that a move may have to wait before the engine shuts down.
 constexpr std::chrono::milliseconds unknownRemainingTime = 1h; ///< Assumed until the rate of a stream can be measured.
+constexpr std::chrono::milliseconds settlingTime = 500ms; ///< A server that crashes on a prompt may have sent its first events just before.
 constexpr int maxAttempts = 8; ///< Limits the attempts when servers refuse the request.
 constexpr std::int64_t lowestPriority = 9;
 constexpr std::int64_t routePriorities = 3; ///< Number of route priorities within each workspace priority.
@@ -190,14 +191,15 @@
 {
     auto& current = *this->attempt;
     const auto now = EventLoop::now();
-    if (!current.hasEvent) {
-        current.hasEvent = true;
+    if (!current.firstEvent) {
+        current.firstEvent = now;
         this->context.policy.firstPieceReceived(this->routingRequest(), current.server, now);
-        this->context.prompts.attemptBegan(this->details.service->name, this->details.fields.promptParts, now);
         this->reportStart(0ms);
     } else {
         this->context.policy.pieceReceived(this->routingRequest(), current.server, 1, now);
     }
+    if (now - *current.firstEvent >= settlingTime)
+        this->settle();
     if (this->phase == Phase::Sent) {
         this->phase = Phase::Streaming;
         this->context.metrics.observe("first_event_seconds", now - this->details.received);
@@ -211,6 +213,12 @@
     this->exchange->sendPiece(event.text);
 }
 
+auto ForwardRun::settle() -> void
+{
+    if (!std::exchange(this->attempt->isSettled, true))
+        this->context.prompts.attemptBegan(this->details.service->name, this->details.fields.promptParts, EventLoop::now());
+}
+
 auto ForwardRun::attemptEnded(CallOutcome outcome) -> void
 {
     auto& current = *this->attempt;
@@ -222,8 +230,8 @@
         return this->attemptRefused(current);
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
     const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding");
-    if (hasResponse && isSuccess && isIntact && !current.hasEvent)
-        this->context.prompts.attemptBegan(this->details.service->name, this->details.fields.promptParts, EventLoop::now());
+    if (hasResponse && isSuccess && isIntact)
+        this->settle();
     if (hasResponse && (!isSuccess || isIntact))
         return this->responseCompleted(current);
     this->attemptFailed(current, outcome);
@@ -284,7 +292,8 @@
     if (this->copy && this->resumeFromCopy())
         return;
     const auto mayHaveRun = outcome != CallOutcome::NotSent;
-    if (!current.hasEvent && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
+    // A move that failed may have stopped the run at its engine.
+    if (!current.isSettled && !this->destination && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
         this->context.prompts.attemptLost(this->details.service->name, this->details.fields.promptParts, current.server.id, EventLoop::now());
     this->context.log.write(Event::AttemptFailed,
         { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", mayHaveRun ? "unknown" : "not sent" },
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -24,10 +24,11 @@
     EventSplitter events;
     bool isEventStream = false;
     bool endsWithConnection = false; ///< Whether the response has neither a length nor chunks.
-    bool hasEvent = false;
+    std::optional<EventLoop::TimePoint> firstEvent;
+    bool isSettled = false; ///< Whether the answer has gone on for long enough to show that the prompt does not crash the server.
 
     /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
-    [[nodiscard]] auto isBrokenOff() const -> bool { return this->isEventStream && (this->events.hasPartialEvent() || (this->endsWithConnection && !this->hasEvent)); }
+    [[nodiscard]] auto isBrokenOff() const -> bool { return this->isEventStream && (this->events.hasPartialEvent() || (this->endsWithConnection && !this->firstEvent)); }
 };
 
 /**
@@ -77,6 +78,7 @@
     auto headReceived(const MessageHead&, const ReplyFields&) -> void;
     auto bodyReceived(std::string_view) -> void;
     auto eventReceived(const StreamEvent&) -> void;
+    auto settle() -> void;
     auto attemptEnded(CallOutcome) -> void;
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
--- a/src/forwarding/promptmonitor.h
+++ b/src/forwarding/promptmonitor.h
@@ -16,10 +16,10 @@
 
     virtual ~PromptMonitor() = default;
 
-    /** Called when the server \a serverId lost an attempt before the first event of its answer. */
+    /** Called when the server \a serverId lost an attempt before its answer had begun and gone on for a while. */
     virtual auto attemptLost(const std::string& service, std::span<const PromptPart> parts, const std::string& serverId, TimePoint now) -> void = 0;
 
-    /** Called when a server began to answer. */
+    /** Called when an answer that a server began is complete or has gone on for a while. */
     virtual auto attemptBegan(const std::string& service, std::span<const PromptPart> parts, TimePoint now) -> void = 0;
 
     /** Returns the time until requests with \a parts may be sent to \a service, or nothing when none of the parts is under quarantine. */
--- a/src/traffic/crashevidence.h
+++ b/src/traffic/crashevidence.h
@@ -26,10 +26,10 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /** Adds an attempt with \a parts that \a server lost before the first event of the answer. */
+    /** Adds an attempt with \a parts that \a server lost before the answer had begun and gone on for a while. */
     auto attemptLost(const std::string& service, std::span<const PromptPart> parts, std::string_view server, TimePoint now) -> void;
 
-    /** Adds an attempt with \a parts whose answer began. */
+    /** Adds an attempt with \a parts whose answer began, and was completed or has gone on for a while. */
     auto attemptBegan(const std::string& service, std::span<const PromptPart> parts, TimePoint now) -> void;
 
     /** Replaces the parts that the leader has put in question by those in its \a verdicts. */
--- a/src/traffic/promptevidence.h
+++ b/src/traffic/promptevidence.h
@@ -19,7 +19,7 @@
 constexpr std::size_t maxQuestionedParts = 32;
 constexpr std::size_t maxQuarantinedParts = 64;
 
-/** An attempt that was lost before the first event of its answer. */
+/** An attempt that was lost before its answer had begun and gone on for a while. */
 struct PromptLoss {
     std::uint32_t server = 0; ///< Hash of the server's id.
     std::chrono::milliseconds age { 0 };
--- a/tests/gateway/test_quarantine.cpp
+++ b/tests/gateway/test_quarantine.cpp
@@ -115,6 +115,8 @@
     { "the head of a stream that ends with its connection", "llm", "/stream/", streamHead },
     { "a part of the first event in chunks", "llm", "/stream/", std::string(chunkedStreamHead) + "9\r\nid: 1\ndat\r\n" },
     { "a part of the first event of a stream that ends with its connection", "llm", "/stream/", std::string(streamHead) + "id: 1\ndat" },
+    { "the first event in chunks", "llm", "/stream/", std::string(chunkedStreamHead) + "f\r\nid: 1\ndata: a\n\n\r\n" },
+    { "the first event and a part of the second of a stream that ends with its connection", "llm", "/stream/", std::string(streamHead) + "id: 1\ndata: a\n\nid: 2\nda" },
 };
 
 // Guards against a crash that counts as the begin of an answer, so that the part is never found.
