Traffic: Judged losses by the rate at the time of the losses

Callers would have seen: after an outage of all servers of a service, or a wave of crashes, requests with sound parts that were not asked for in the next 15 s were refused for ten minutes on all nodes.

Cause: losses of a part counted for 60 s, the rate of losses that they are compared with covered the last 15 s only. From 15 s after the outage on, the rate was low again and the old losses seemed improbable.

Ruled out: a shorter lifetime of the losses, with which a part that crashes a server every five seconds would never be found.

Change: nodes report 60 s of counts, and the rate is taken from the first crash of the part until 2 s after the last one, beside the one of the last 15 s.

--- a/src/traffic/promptevidence.h
+++ b/src/traffic/promptevidence.h
@@ -9,7 +9,7 @@
 namespace Primrosefork {
 
 constexpr std::chrono::milliseconds evidenceSlot { 500 }; ///< Time over which attempts are counted together.
-constexpr std::size_t evidenceSlots = 30; ///< Number of slots that are reported, the newest first.
+constexpr std::size_t evidenceSlots = 120; ///< Number of slots that are reported, the newest first; they cover the lifetime of the evidence.
 constexpr std::chrono::seconds evidenceLifetime { 60 }; ///< Time after which losses and begins of a prompt part are forgotten.
 constexpr std::chrono::milliseconds sameCrashTime { 500 }; ///< Losses at one server within this time count as one crash.
 
--- a/src/traffic/promptquarantine.cpp
+++ b/src/traffic/promptquarantine.cpp
@@ -17,6 +17,8 @@
 constexpr auto sameEventTime = 250ms; ///< Crashes of several servers within this time may have one cause, so that they count as one.
 constexpr double minLossRate = 0.02; ///< Rate of losses assumed of a service that has fewer.
 constexpr double maxProbability = 1e-6; ///< Probability of the evidence for a sound part below which it is quarantined; each attempt is another chance to be wrong.
+constexpr std::size_t recentSlots = 30; ///< Slots whose losses are the present rate, the newest ones.
+constexpr auto afterCrashes = 2s; ///< Time after the last crash of a part that still counts for the rate at which attempts were lost around its crashes.
 constexpr auto liveTime = 1'200ms; ///< Time after its last report, two report periods long, for which a node's answer to a question is waited for.
 constexpr auto maxQuestionTime = 1'500ms; ///< Time after which a decision no longer waits for a node.
 constexpr std::size_t maxNodes = 4'096;
@@ -174,6 +176,7 @@
             continue;
         if (suspect.crashes++ == 0)
             suspect.firstCrash = loss.moment;
+        suspect.lastCrash = loss.moment;
         ++count;
         moment = loss.moment;
         last = loss.moment;
@@ -210,35 +213,36 @@
 
 auto PromptQuarantine::lossRate(const std::string& service, const Suspect& suspect, const std::vector<Loss>& explained) const -> double
 {
-    double begun = 0;
-    double lost = 0;
-    double begunSince = 0; // Since the first crash: without begins from then on, the whole service may be out of order.
-    double lostSince = 0;
+    Attempts recent;
+    Attempts around; // From the first crash until shortly after the last one: the whole service may have been out of order then.
+    const auto end = suspect.lastCrash + afterCrashes;
+    const auto coincides = [&suspect, &explained](std::uint32_t server, TimePoint moment) {
+        const auto isSame = [server, moment](const Loss& loss) { return isSameCrash(server, moment, loss.server, loss.moment); };
+        return std::any_of(suspect.losses.begin(), suspect.losses.end(), isSame) || std::any_of(explained.begin(), explained.end(), isSame);
+    };
     for (const auto& [node, evidence] : this->nodes) {
         for (const auto& entry : evidence.services) {
             if (entry.service != service)
                 continue;
             for (std::size_t slot = 0; slot < entry.begun.size() && slot < entry.lost.size(); ++slot) {
                 const auto slotStart = evidence.received - evidenceSlot * (static_cast<std::int64_t>(slot) + 1);
-                begun += entry.begun[slot];
-                lost += entry.lost[slot];
-                begunSince += slotStart >= suspect.firstCrash ? entry.begun[slot] : 0;
-                lostSince += slotStart + evidenceSlot >= suspect.firstCrash ? entry.lost[slot] : 0;
+                recent.begun += slot < recentSlots ? entry.begun[slot] : 0;
+                recent.lost += slot < recentSlots ? entry.lost[slot] : 0;
+                around.begun += slotStart >= suspect.firstCrash && slotStart < end ? entry.begun[slot] : 0;
+                around.lost += slotStart + evidenceSlot >= suspect.firstCrash && slotStart < end ? entry.lost[slot] : 0;
             }
             for (const auto& crash : entry.crashes) {
                 const auto moment = evidence.received - crash.age;
-                const auto coincides = [&crash, moment](const Loss& loss) { return isSameCrash(crash.server, moment, loss.server, loss.moment); };
-                if (moment < evidence.received - evidenceSlot * static_cast<std::int64_t>(evidenceSlots)
-                    || (std::none_of(suspect.losses.begin(), suspect.losses.end(), coincides) && std::none_of(explained.begin(), explained.end(), coincides)))
+                if (!coincides(crash.server, moment))
                     continue;
-                lost -= crash.losses;
-                lostSince -= moment >= suspect.firstCrash - evidenceSlot ? crash.losses : 0;
+                recent.lost -= crash.age <= evidenceSlot * static_cast<std::int64_t>(recentSlots) ? crash.losses : 0;
+                around.lost -= moment >= suspect.firstCrash - evidenceSlot && moment < end ? crash.losses : 0;
             }
         }
     }
-    lost = std::max(0.0, lost);
-    lostSince = std::max(0.0, lostSince) + 1;
-    return std::max({ minLossRate, begun + lost > 0 ? lost / (begun + lost) : 1.0, lostSince / (begunSince + lostSince) });
+    recent.lost = std::max(0.0, recent.lost);
+    around.lost = std::max(0.0, around.lost) + 1;
+    return std::max({ minLossRate, recent.begun + recent.lost > 0 ? recent.lost / (recent.begun + recent.lost) : 1.0, around.lost / (around.begun + around.lost) });
 }
 
 auto PromptQuarantine::verdicts(TimePoint now) const -> std::vector<PromptVerdict>
--- a/src/traffic/promptquarantine.h
+++ b/src/traffic/promptquarantine.h
@@ -65,6 +65,12 @@
         std::vector<Loss> losses; ///< Losses since the last begin that no quarantined part explains, the oldest first.
         std::size_t crashes = 0;
         TimePoint firstCrash;
+        TimePoint lastCrash;
+    };
+
+    struct Attempts {
+        double begun = 0;
+        double lost = 0;
     };
 
     auto expire(TimePoint now) -> std::vector<QuarantineChange>;
--- a/tests/traffic/test_promptquarantine.cpp
+++ b/tests/traffic/test_promptquarantine.cpp
@@ -296,6 +296,48 @@
     }
 }
 
+struct OutageCase {
+    const char* name;
+    std::chrono::milliseconds outage; ///< Time for which all attempts are lost.
+    std::chrono::milliseconds distance; ///< Time between two attempts with the rare part in the outage; there are none after it.
+};
+
+const OutageCase outageCases[] = {
+    { "a short outage with repeats of a request", 3s, 600ms },
+    { "an outage of ten seconds", 10s, 2s },
+    { "an outage of ten seconds with many requests", 10s, 400ms },
+};
+
+// Guards against losses that are older than the rate of losses that they are compared with.
+TEST_CASE("a sound part that was not asked for since an outage is not refused")
+{
+    constexpr auto otherDistance = 50ms;
+    constexpr int servers = 12;
+    for (const auto& row : outageCases) {
+        INFO(std::string(row.name));
+        CrashEvidence evidence;
+        PromptQuarantine leader;
+        int quarantined = 0;
+        for (auto passed = 0ms; passed < 60s; passed += step) {
+            const auto now = start + passed;
+            const auto isOut = passed >= 5s && passed < 5s + row.outage;
+            const std::vector<PromptPart> others { { 1, 100 }, { 2, 100 }, { 3, 10 } };
+            if (passed % otherDistance == 0ms && isOut)
+                evidence.attemptLost(service, others, "i-" + std::to_string(passed / otherDistance % servers), now);
+            else if (passed % otherDistance == 0ms)
+                evidence.attemptBegan(service, others, now);
+            if (isOut && passed % row.distance == 0ms)
+                evidence.attemptLost(service, std::vector<PromptPart> { { 1, 100 }, { rareParts, 100 }, { 3, 10 } }, "i-" + std::to_string(passed / row.distance % servers), now);
+            if (passed % reportPeriod != 0ms)
+                continue;
+            leader.reportReceived("node-1", evidence.report(now), now);
+            quarantined += static_cast<int>(leader.decide(now).size());
+            evidence.setQuestioned(leader.verdicts(now));
+        }
+        CHECK(quarantined == 0);
+    }
+}
+
 TEST_CASE("a quarantine ends after its time")
 {
     PromptQuarantine quarantine;
