Traffic: Told several deadly parts of one service apart

Callers saw: while two parts of prompts crash the servers of one service, and each crash loses ten other attempts, up to 14 requests with each part reached servers later than three seconds after its fifth crash, where 3 are allowed (simulated fleets, 18 servers, 40 sound requests a second).

Cause: losses beside the crashes of one part raised the rate of losses that the other one was judged by, and the other way round, to a half and more; about twenty crashes of each were needed.

Ruled out: the bound on the probability (a higher one puts sound parts under quarantine in bad pools); collecting all parts with losses as possible causes, since in a bad pool there are many by chance and the rate would be far too low.

Change: losses beside the crashes of up to three other parts with five crashes or more are left out of the rate.

--- a/src/traffic/promptquarantine.cpp
+++ b/src/traffic/promptquarantine.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t minCrashes = 4; ///< Fewest crashes that put a part under quarantine.
 constexpr std::size_t maxCrashesPerServer = 2; ///< Crashes of one server that count, since a faulty server crashes on any prompt.
 constexpr auto sameEventTime = 250ms; ///< Crashes of several servers within this time may have one cause, so that they count as one.
+constexpr std::size_t minRivalCrashes = 5; ///< Crashes from which on a part may also be the cause of other losses.
+constexpr std::size_t maxRivals = 3; ///< Parts that may be the cause of other losses; few, since in a bad pool many parts have losses by chance.
 constexpr double minLossRate = 0.02; ///< Rate of losses assumed of a service that has fewer.
 constexpr double maxProbability = 1e-6; ///< Probability of the evidence for a sound part below which it is quarantined; each attempt is another chance to be wrong.
 constexpr std::size_t recentSlots = 30; ///< Slots whose losses are the present rate, the newest ones.
@@ -113,20 +115,36 @@
     // Of parts with the same crashes the later one in the prompt is the more specific one.
     std::sort(suspects.begin(), suspects.end(), [](const Suspect& left, const Suspect& right) { return std::pair(left.crashes, left.position) > std::pair(right.crashes, right.position); });
     this->question(service, suspects, now);
+    std::size_t rivals = 0;
     for (auto& suspect : suspects) {
         removeExplained(suspect);
-        if (suspect.crashes < minCrashes || this->quarantined.size() >= maxQuarantinedParts || !this->isHeard(service, suspect.part, now))
-            continue;
-        const auto rate = this->lossRate(service, suspect, explained);
-        if (std::pow(rate, static_cast<double>(suspect.crashes)) >= maxProbability)
+        const auto isJudged = suspect.crashes >= minCrashes && this->quarantined.size() < maxQuarantinedParts && this->isHeard(service, suspect.part, now);
+        const auto rate = isJudged ? this->lossRate(service, suspect, withRivals(explained, suspects, suspect)) : 1.0;
+        const auto isCause = std::pow(rate, static_cast<double>(suspect.crashes)) < maxProbability;
+        // What another part may have caused is no evidence against the weaker ones, which were lost beside it.
+        if (isCause || (suspect.crashes >= minRivalCrashes && rivals++ < maxRivals))
+            explained.insert(explained.end(), suspect.losses.begin(), suspect.losses.end());
+        if (!isCause)
             continue;
         this->quarantined[{ service, suspect.part }] = now + quarantineTime;
         this->questioned.erase({ service, suspect.part });
-        explained.insert(explained.end(), suspect.losses.begin(), suspect.losses.end());
         changes.push_back({ service, suspect.part, true, suspect.crashes, rate });
     }
 }
 
+auto PromptQuarantine::withRivals(std::vector<Loss> losses, const std::vector<Suspect>& suspects, const Suspect& judged) -> std::vector<Loss>
+{
+    std::size_t rivals = 0;
+    for (const auto& suspect : suspects) {
+        if (suspect.part == judged.part || suspect.crashes < minRivalCrashes)
+            continue;
+        if (rivals++ == maxRivals)
+            break;
+        losses.insert(losses.end(), suspect.losses.begin(), suspect.losses.end());
+    }
+    return losses;
+}
+
 auto PromptQuarantine::merge(const PromptEvidence& entry, TimePoint received, std::map<std::uint64_t, Suspect>& merged) -> void
 {
     for (const auto& reported : entry.suspects) {
--- a/src/traffic/promptquarantine.h
+++ b/src/traffic/promptquarantine.h
@@ -76,6 +76,7 @@
     auto expire(TimePoint now) -> std::vector<QuarantineChange>;
     [[nodiscard]] auto serviceNames() const -> std::set<std::string>;
     auto decideService(const std::string& service, TimePoint now, std::vector<QuarantineChange>& changes) -> void;
+    static auto withRivals(std::vector<Loss>, const std::vector<Suspect>&, const Suspect& judged) -> std::vector<Loss>;
     auto merge(const PromptEvidence&, TimePoint received, std::map<std::uint64_t, Suspect>& merged) -> void;
     auto collect(const std::string& service, TimePoint now) -> std::vector<Suspect>;
     static auto countCrashes(Suspect&) -> void;
--- a/tests/traffic/test_promptquarantine.cpp
+++ b/tests/traffic/test_promptquarantine.cpp
@@ -2,6 +2,7 @@
 #include "promptquarantine.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <map>
 #include <optional>
@@ -26,7 +27,7 @@
 constexpr int fifthCrash = 5;
 constexpr int maxLateArrivals = 3;
 constexpr auto restartTime = 4s; ///< Time for which a crashed server is away.
-constexpr std::uint64_t deadlyPart = 0xdead;
+constexpr std::array<std::uint64_t, 2> deadlyParts = { 0xdead, 0xbeef };
 constexpr std::uint64_t firstParts = 4; ///< Number of first parts that requests share, from 1.
 constexpr std::uint64_t rareParts = 1'000; ///< Lowest id of the parts that few requests share.
 
@@ -37,6 +38,7 @@
     Restart, ///< All nodes start anew at 15 s, with what the store holds.
     Wave, ///< All servers crash at 5 s, and one after the other from 10 s on.
     Outage, ///< All servers lose all attempts from 5 to 10 s.
+    SecondPart, ///< Each second deadly request has another deadly part.
     Flapping, ///< Server 0 crashes each second; all requests with the part rareParts are sent there.
 };
 
@@ -62,6 +64,9 @@
     { "2/s over 9 nodes while a fifth of the reports is lost", 9, 18, 160, 400, 2, 4, 0, 0.2, Event::None },
     { "2/s over 9 nodes in a pool that loses a tenth of the attempts", 9, 18, 160, 400, 2, 4, 0.1, 0, Event::None },
     { "2/s over 9 nodes and six servers", 9, 6, 60, 40, 2, 2, 0, 0, Event::None },
+    { "two parts, 1/s each, over 9 nodes", 9, 18, 160, 400, 2, 4, 0, 0, Event::SecondPart },
+    { "two parts, 2/s each, over 9 nodes, while each crash loses ten sound attempts", 9, 18, 40, 40, 4, 10, 0, 0, Event::SecondPart },
+    { "two parts, 4/s each, over 295 nodes", 295, 600, 1'500, 4'000, 8, 4, 0, 0, Event::SecondPart },
     { "2/s over 9 nodes, all started anew", 9, 18, 160, 400, 2, 4, 0, 0, Event::Restart },
     { "2/s at one node that knows no leader", 1, 18, 40, 100, 2, 2, 0, 0, Event::LeaderLost },
 };
@@ -105,8 +110,8 @@
         }
     }
 
-    int crashes = 0; ///< Crashes on the deadly part.
-    int lateArrivals = 0; ///< Arrivals of the deadly part when it has to be refused.
+    std::array<int, deadlyParts.size()> crashes {}; ///< Crashes on each deadly part.
+    std::array<int, deadlyParts.size()> lateArrivals {}; ///< Arrivals of each deadly part when it has to be refused.
     int refusedSound = 0;
     int sound = 0;
     int lateSound = 0;
@@ -173,18 +178,19 @@
 
     auto sendDeadly(Node& node) -> void
     {
-        const std::vector<PromptPart> parts { { 1 + this->below(firstParts), 100 }, { deadlyPart, 100 }, { 1'000'000 + this->random(), 10 } };
+        const auto index = this->load.event == Event::SecondPart ? this->deadlyRequests++ % deadlyParts.size() : 0;
+        const std::vector<PromptPart> parts { { 1 + this->below(firstParts), 100 }, { deadlyParts[index], 100 }, { 1'000'000 + this->random(), 10 } };
         const auto server = this->anyServer();
         if (this->isRefused(node, parts) || !server)
             return;
-        if (this->crashes >= fifthCrash && this->now > this->fifthAt + contact)
-            ++this->lateArrivals;
+        if (this->crashes[index] >= fifthCrash && this->now > this->fifthAt[index] + contact)
+            ++this->lateArrivals[index];
         this->lose(node, parts, *server);
         this->crash(*server);
-        if (++this->crashes == 1)
+        if (++this->crashes[index] == 1)
             this->firstAt = this->now;
-        if (this->crashes == fifthCrash)
-            this->fifthAt = this->now;
+        if (this->crashes[index] == fifthCrash)
+            this->fifthAt[index] = this->now;
     }
 
     auto crash(std::size_t server) -> void
@@ -197,7 +203,7 @@
     auto disturb() -> void
     {
         const auto passed = this->now - start;
-        if (this->load.event == Event::LeaderChange && !this->hasChanged && this->crashes > 0 && this->now - this->firstAt > 1s) {
+        if (this->load.event == Event::LeaderChange && !this->hasChanged && this->crashes[0] > 0 && this->now - this->firstAt > 1s) {
             this->hasChanged = true;
             this->leader = {};
         }
@@ -262,7 +268,8 @@
     TimePoint now = start;
     TimePoint lastDecision = start;
     TimePoint firstAt = start;
-    TimePoint fifthAt = start;
+    std::array<TimePoint, deadlyParts.size()> fifthAt {};
+    std::size_t deadlyRequests = 0;
     bool hasChanged = false;
 };
 
@@ -274,9 +281,12 @@
             CAPTURE(seed);
             Fleet fleet(row, seed);
             fleet.run(40s);
-            CHECK(fleet.crashes >= 4);
-            CHECK(fleet.lateArrivals <= maxLateArrivals);
-            CHECK(fleet.everQuarantined == std::set<std::uint64_t> { deadlyPart });
+            const std::size_t count = row.event == Event::SecondPart ? 2 : 1;
+            for (std::size_t index = 0; index < count; ++index) {
+                CHECK(fleet.crashes[index] >= 4);
+                CHECK(fleet.lateArrivals[index] <= maxLateArrivals);
+            }
+            CHECK(fleet.everQuarantined == std::set<std::uint64_t>(deadlyParts.begin(), deadlyParts.begin() + count));
             CHECK(fleet.refusedSound == 0);
         }
     }
@@ -341,7 +351,7 @@
 TEST_CASE("a quarantine ends after its time")
 {
     PromptQuarantine quarantine;
-    quarantine.adopt(service, { { deadlyPart, 5s } }, start);
+    quarantine.adopt(service, { { deadlyParts[0], 5s } }, start);
     CHECK(quarantine.decide(start + 4s).empty());
     REQUIRE(quarantine.verdicts(start + 4s).size() == 1);
     CHECK(quarantine.verdicts(start + 4s).front().quarantined.front().left == 1s);
