Test: An answer without a length is complete when its connection ends

The node's own interface takes such an answer as whole, as the gateway does; no test showed it. A stream of that interface says at its end how many tokens it had, so one that ends early is noticed.

--- a/tests/http/test_httpclient.cpp
+++ b/tests/http/test_httpclient.cpp
@@ -105,6 +105,7 @@
     { "connection closed without a response", { { "", true } }, Error::ConnectionLost, true, 1 },
     { "connection closed within the response", { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true } }, Error::ConnectionLost, true, 1 },
     { "connection closed within a chunked response", { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true } }, Error::ConnectionLost, true, 1 },
+    { "response without a length, which ends with its connection", { { "HTTP/1.1 200 OK\r\n\r\nok", true } }, {}, true, 1 },
     { "no response within the timeout", { { "", false } }, Error::Timeout, true, 1 },
     { "no further bytes of the response within the timeout", { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false } }, Error::Timeout, true, 1 },
     { "response that is not HTTP", { { "hello\r\n\r\n", true } }, Error::ConnectionLost, true, 1 },
