--- a/src/traffic/promptevidence.h
+++ b/src/traffic/promptevidence.h
@@ -9,7 +9,7 @@
 namespace Primrosefork {
 
 constexpr std::chrono::milliseconds evidenceSlot { 500 }; ///< Time over which attempts are counted together.
-constexpr std::size_t evidenceSlots = 30; ///< Number of slots that are reported, the newest first.
+constexpr std::size_t evidenceSlots = 120; ///< Number of slots that are reported, the newest first; they cover the lifetime of the evidence.
 constexpr std::chrono::seconds evidenceLifetime { 60 }; ///< Time after which losses and begins of a prompt part are forgotten.
 constexpr std::chrono::milliseconds sameCrashTime { 500 }; ///< Losses at one server within this time count as one crash.
 
@@ -19,7 +19,7 @@
 constexpr std::size_t maxQuestionedParts = 32;
 constexpr std::size_t maxQuarantinedParts = 64;
 
-/** An attempt that was lost before the first event of its answer. */
+/** An attempt that was lost before its answer had begun and gone on for a while. */
 struct PromptLoss {
     std::uint32_t server = 0; ///< Hash of the server's id.
     std::chrono::milliseconds age { 0 };
--- a/src/traffic/promptquarantine.cpp
+++ b/src/traffic/promptquarantine.cpp
@@ -15,8 +15,12 @@
 constexpr std::size_t minCrashes = 4; ///< Fewest crashes that put a part under quarantine.
 constexpr std::size_t maxCrashesPerServer = 2; ///< Crashes of one server that count, since a faulty server crashes on any prompt.
 constexpr auto sameEventTime = 250ms; ///< Crashes of several servers within this time may have one cause, so that they count as one.
+constexpr std::size_t minRivalCrashes = 5; ///< Crashes from which on a part may also be the cause of other losses.
+constexpr std::size_t maxRivals = 3; ///< Parts that may be the cause of other losses; few, since in a bad pool many parts have losses by chance.
 constexpr double minLossRate = 0.02; ///< Rate of losses assumed of a service that has fewer.
 constexpr double maxProbability = 1e-6; ///< Probability of the evidence for a sound part below which it is quarantined; each attempt is another chance to be wrong.
+constexpr std::size_t recentSlots = 30; ///< Slots whose losses are the present rate, the newest ones.
+constexpr auto afterCrashes = 2s; ///< Time after the last crash of a part that still counts for the rate at which attempts were lost around its crashes.
 constexpr auto liveTime = 1'200ms; ///< Time after its last report, two report periods long, for which a node's answer to a question is waited for.
 constexpr auto maxQuestionTime = 1'500ms; ///< Time after which a decision no longer waits for a node.
 constexpr std::size_t maxNodes = 4'096;
@@ -111,20 +115,36 @@
     // Of parts with the same crashes the later one in the prompt is the more specific one.
     std::sort(suspects.begin(), suspects.end(), [](const Suspect& left, const Suspect& right) { return std::pair(left.crashes, left.position) > std::pair(right.crashes, right.position); });
     this->question(service, suspects, now);
+    std::size_t rivals = 0;
     for (auto& suspect : suspects) {
         removeExplained(suspect);
-        if (suspect.crashes < minCrashes || this->quarantined.size() >= maxQuarantinedParts || !this->isHeard(service, suspect.part, now))
-            continue;
-        const auto rate = this->lossRate(service, suspect, explained);
-        if (std::pow(rate, static_cast<double>(suspect.crashes)) >= maxProbability)
+        const auto isJudged = suspect.crashes >= minCrashes && this->quarantined.size() < maxQuarantinedParts && this->isHeard(service, suspect.part, now);
+        const auto rate = isJudged ? this->lossRate(service, suspect, withRivals(explained, suspects, suspect)) : 1.0;
+        const auto isCause = std::pow(rate, static_cast<double>(suspect.crashes)) < maxProbability;
+        // What another part may have caused is no evidence against the weaker ones, which were lost beside it.
+        if (isCause || (suspect.crashes >= minRivalCrashes && rivals++ < maxRivals))
+            explained.insert(explained.end(), suspect.losses.begin(), suspect.losses.end());
+        if (!isCause)
             continue;
         this->quarantined[{ service, suspect.part }] = now + quarantineTime;
         this->questioned.erase({ service, suspect.part });
-        explained.insert(explained.end(), suspect.losses.begin(), suspect.losses.end());
         changes.push_back({ service, suspect.part, true, suspect.crashes, rate });
     }
 }
 
+auto PromptQuarantine::withRivals(std::vector<Loss> losses, const std::vector<Suspect>& suspects, const Suspect& judged) -> std::vector<Loss>
+{
+    std::size_t rivals = 0;
+    for (const auto& suspect : suspects) {
+        if (suspect.part == judged.part || suspect.crashes < minRivalCrashes)
+            continue;
+        if (rivals++ == maxRivals)
+            break;
+        losses.insert(losses.end(), suspect.losses.begin(), suspect.losses.end());
+    }
+    return losses;
+}
+
 auto PromptQuarantine::merge(const PromptEvidence& entry, TimePoint received, std::map<std::uint64_t, Suspect>& merged) -> void
 {
     for (const auto& reported : entry.suspects) {
@@ -174,6 +194,7 @@
             continue;
         if (suspect.crashes++ == 0)
             suspect.firstCrash = loss.moment;
+        suspect.lastCrash = loss.moment;
         ++count;
         moment = loss.moment;
         last = loss.moment;
@@ -210,35 +231,36 @@
 
 auto PromptQuarantine::lossRate(const std::string& service, const Suspect& suspect, const std::vector<Loss>& explained) const -> double
 {
-    double begun = 0;
-    double lost = 0;
-    double begunSince = 0; // Since the first crash: without begins from then on, the whole service may be out of order.
-    double lostSince = 0;
+    Attempts recent;
+    Attempts around; // From the first crash until shortly after the last one: the whole service may have been out of order then.
+    const auto end = suspect.lastCrash + afterCrashes;
+    const auto coincides = [&suspect, &explained](std::uint32_t server, TimePoint moment) {
+        const auto isSame = [server, moment](const Loss& loss) { return isSameCrash(server, moment, loss.server, loss.moment); };
+        return std::any_of(suspect.losses.begin(), suspect.losses.end(), isSame) || std::any_of(explained.begin(), explained.end(), isSame);
+    };
     for (const auto& [node, evidence] : this->nodes) {
         for (const auto& entry : evidence.services) {
             if (entry.service != service)
                 continue;
             for (std::size_t slot = 0; slot < entry.begun.size() && slot < entry.lost.size(); ++slot) {
                 const auto slotStart = evidence.received - evidenceSlot * (static_cast<std::int64_t>(slot) + 1);
-                begun += entry.begun[slot];
-                lost += entry.lost[slot];
-                begunSince += slotStart >= suspect.firstCrash ? entry.begun[slot] : 0;
-                lostSince += slotStart + evidenceSlot >= suspect.firstCrash ? entry.lost[slot] : 0;
+                recent.begun += slot < recentSlots ? entry.begun[slot] : 0;
+                recent.lost += slot < recentSlots ? entry.lost[slot] : 0;
+                around.begun += slotStart >= suspect.firstCrash && slotStart < end ? entry.begun[slot] : 0;
+                around.lost += slotStart + evidenceSlot >= suspect.firstCrash && slotStart < end ? entry.lost[slot] : 0;
             }
             for (const auto& crash : entry.crashes) {
                 const auto moment = evidence.received - crash.age;
-                const auto coincides = [&crash, moment](const Loss& loss) { return isSameCrash(crash.server, moment, loss.server, loss.moment); };
-                if (moment < evidence.received - evidenceSlot * static_cast<std::int64_t>(evidenceSlots)
-                    || (std::none_of(suspect.losses.begin(), suspect.losses.end(), coincides) && std::none_of(explained.begin(), explained.end(), coincides)))
+                if (!coincides(crash.server, moment))
                     continue;
-                lost -= crash.losses;
-                lostSince -= moment >= suspect.firstCrash - evidenceSlot ? crash.losses : 0;
+                recent.lost -= crash.age <= evidenceSlot * static_cast<std::int64_t>(recentSlots) ? crash.losses : 0;
+                around.lost -= moment >= suspect.firstCrash - evidenceSlot && moment < end ? crash.losses : 0;
             }
         }
     }
-    lost = std::max(0.0, lost);
-    lostSince = std::max(0.0, lostSince) + 1;
-    return std::max({ minLossRate, begun + lost > 0 ? lost / (begun + lost) : 1.0, lostSince / (begunSince + lostSince) });
+    recent.lost = std::max(0.0, recent.lost);
+    around.lost = std::max(0.0, around.lost) + 1;
+    return std::max({ minLossRate, recent.begun + recent.lost > 0 ? recent.lost / (recent.begun + recent.lost) : 1.0, around.lost / (around.begun + around.lost) });
 }
 
 auto PromptQuarantine::verdicts(TimePoint now) const -> std::vector<PromptVerdict>
