Gateway: Showed which settings each node runs

Operators saw: settings files change often, and nobody could tell from outside which settings a node runs; a file that was rejected, or whose change needs a restart, left a line in the log at most.

Change: a digest of the settings that nodes share (bounds and log level, by their meaning). A node shows it with its age, the fields of the last file that need a restart and the findings of a rejected one, in its state, metrics and log; reports carry it (16 bytes with the revision of the configuration), and the leader's state lists how many nodes run which.

Ruled out: a digest of the file's bytes (units, order and defaults differ between files that mean the same); all fields (addresses and identity differ by node).

--- a/src/cli/apiclient.cpp
+++ b/src/cli/apiclient.cpp
@@ -50,29 +50,38 @@
 
 auto ApiClient::get(const std::string& path) -> ApiAnswer
 {
-    return this->call({ "GET", std::string(root) + path, "", {}, "" });
+    return this->call(this->line.node, { "GET", std::string(root) + path, "", this->authorization(), "" });
+}
+
+auto ApiClient::fetchState(const Address& address) -> ApiAnswer
+{
+    return this->call(address, { "GET", "/state", "", {}, "" });
 }
 
 auto ApiClient::change(const std::string& method, const std::string& path, const Json& body) -> ApiAnswer
 {
     const auto isNew = this->line.writeId.empty();
     const auto writeId = isNew ? randomHex(writeIdBytes) : this->line.writeId;
-    HttpRequest request { method, std::string(root) + path, "", { { "Write-Id", writeId } }, "" };
+    HttpRequest request { method, std::string(root) + path, "", this->authorization(), "" };
+    request.headers.add("Write-Id", writeId);
     if (isNew)
         request.headers.add("Write-Attempt", "1");
     if (method == "DELETE")
         request.query = "base_revision=" + body.at("base_revision").dump();
     else
         request.body = body.dump();
-    auto answer = this->call(request);
+    auto answer = this->call(this->line.node, request);
     answer.writeId = writeId;
     return answer;
 }
 
-auto ApiClient::call(const HttpRequest& message) -> ApiAnswer
+auto ApiClient::authorization() const -> HttpHeaders
+{
+    return { { "Authorization", "Bearer " + this->line.credential } };
+}
+
+auto ApiClient::call(const Address& address, const HttpRequest& request) -> ApiAnswer
 {
-    auto request = message;
-    request.headers.add("Authorization", "Bearer " + this->line.credential);
     HttpCallOptions options;
     options.connectTimeout = this->line.timeout;
     options.firstByteTimeout = this->line.timeout;
@@ -80,7 +89,7 @@
     options.maxResponseBytes = maxAnswerBytes;
     options.usesFreshConnection = true;
     ApiAnswer answer;
-    this->client.fetch(this->line.node, request, options, [this, &answer](std::error_code error, const HttpResponse& response) {
+    this->client.fetch(address, request, options, [this, &answer](std::error_code error, const HttpResponse& response) {
         answer.error = error;
         answer.status = response.status;
         answer.text = response.body;
--- a/src/cli/apiclient.h
+++ b/src/cli/apiclient.h
@@ -38,6 +38,9 @@
     /** Sends a GET to \a path below /admin/v1/. */
     auto get(const std::string& path) -> ApiAnswer;
 
+    /** Sends a GET for the state dump to the gateway node with the operators' \a address, which asks for no credential. */
+    auto fetchState(const Address& address) -> ApiAnswer;
+
     /**
      * Sends a change with \a method to \a path below /admin/v1/. It carries the write
      * id of the command line, or a new random one when none was given.
@@ -45,7 +48,8 @@
     auto change(const std::string& method, const std::string& path, const nlohmann::json& body) -> ApiAnswer;
 
 private:
-    auto call(const HttpRequest&) -> ApiAnswer;
+    [[nodiscard]] auto authorization() const -> HttpHeaders;
+    auto call(const Address&, const HttpRequest&) -> ApiAnswer;
 
     const CommandLine& line;
     EventLoop loop;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "backendcommands.h"
 #include "checkcommand.h"
+#include "gatewaycommands.h"
 #include "nodecommands.h"
 #include "recordcommands.h"
 #include "servicecommands.h"
@@ -31,6 +32,7 @@
   primrosefork service roll-forward jadeleaf/desk --base_revision 5 --to_revision 3
   primrosefork backend drain engine-7
   primrosefork node status --json
+  primrosefork gateway settings 10.1.0.11:7701 10.1.0.12:7701
   primrosefork check parameters parameters.json --template_file template.json
 
 Exit codes: 0 ok, 1 failed and not accepted, 2 wrong usage, 3 findings, 4
@@ -64,6 +66,7 @@
     commands.push_back({ "backend", "drain", "ID [--service S]", "send no new work to a backend server", false, std::make_unique<DrainCommand>(true) });
     commands.push_back({ "backend", "undrain", "ID [--service S]", "end the drain of a backend server", false, std::make_unique<DrainCommand>(false) });
     commands.push_back({ "node", "status", "", "show the nodes and the configuration that each has in force", false, std::make_unique<NodeStatusCommand>() });
+    commands.push_back({ "gateway", "settings", "ADDRESS…", "show which settings and which configuration gateway nodes run", true, std::make_unique<GatewaySettingsCommand>() });
     commands.push_back({ "state", "", "", "print the state dump of the node", false, std::make_unique<StateCommand>() });
     for (const auto* kind : { "settings", "template", "parameters", "workspace" }) {
         const auto* arguments = std::string(kind) == "parameters" ? "FILE --template_file T" : "FILE";
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -14,7 +14,7 @@
     std::string verb; ///< Empty when the group is a subcommand by itself.
     std::string arguments; ///< Synopsis of the arguments and options for the help.
     std::string summary; ///< One line of the help.
-    bool isOffline = false; ///< Runs without calling a node, so it needs no address and no credential.
+    bool isOffline = false; ///< Runs without the administration API, so it needs no --node and no credential.
     std::unique_ptr<Command> command;
 };
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -68,7 +68,7 @@
     return findings.empty();
 }
 
-/** Sets the address, credential and time-out in \a line; prints an error and returns false when one is missing or invalid. */
+/** Sets the address and the credential in \a line; prints an error and returns false when one is missing or invalid. */
 auto readNode(CommandLine& line) -> bool
 {
     const auto address = parseAddress(flagOrEnvironment(FLAGS_node, "PRIMROSEFORK_NODE"));
@@ -80,7 +80,7 @@
     line.credential = readCredential();
     if (line.credential.empty())
         printError("no credential: set --credential_file or PRIMROSEFORK_CREDENTIAL");
-    return !line.credential.empty() && readTimeout(line.timeout);
+    return !line.credential.empty();
 }
 
 auto readCommandLine(int argc, char** argv) -> CommandLine
@@ -118,7 +118,7 @@
         std::cerr << helpText(commands);
         return ExitCode::Usage;
     }
-    if (!found->isOffline && !readNode(line))
+    if (!readTimeout(line.timeout) || (!found->isOffline && !readNode(line)))
         return ExitCode::Usage;
     std::signal(SIGPIPE, SIG_IGN);
     return found->command->run(line);
--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds recordRetryDelay = 400ms;
 constexpr int maxRetryDoublings = 2; ///< Doublings of that time, so that many nodes that start without the store do not crowd it on its return.
 constexpr std::chrono::milliseconds reportPeriod = 500ms; ///< Ten reports per accounting window of 5 s, and several per quota window.
+constexpr std::size_t maxListedNodes = 16; ///< Ids of nodes with one value that the state dump lists.
 constexpr auto nodeTimeout = 3s; ///< Time after its last report at which a node counts as dead and has no share.
 constexpr auto reportRetention = 30s; ///< Time for which a node's last report is kept, because its usage counts may still be due.
 constexpr auto observerGatherTime = 700ms; ///< Time in which each node reports to a new leader once, before the leader chooses observers.
@@ -42,6 +43,27 @@
         windows.erase(windows.begin());
 }
 
+/** Returns how many live nodes report each value, the commonest first, with the ids of some of them; \a name is the member with the value. */
+template <typename ValueOf>
+auto groupNodes(const char* name, const NodeRecords& nodes, EventLoop::TimePoint now, ValueOf valueOf) -> nlohmann::json
+{
+    using Value = std::invoke_result_t<ValueOf, const NodeReport&>;
+    std::map<Value, std::vector<std::string>> groups;
+    for (const auto& [id, node] : nodes) {
+        if (now - node.receivedAt < nodeTimeout)
+            groups[valueOf(node.report)].push_back(id);
+    }
+    std::vector<std::pair<Value, std::vector<std::string>>> ordered(groups.begin(), groups.end());
+    std::stable_sort(ordered.begin(), ordered.end(), [](const auto& left, const auto& right) { return left.second.size() > right.second.size(); });
+    auto list = nlohmann::json::array();
+    for (auto& [value, ids] : ordered) {
+        const auto count = ids.size();
+        ids.resize(std::min(count, maxListedNodes));
+        list.push_back({ { name, value }, { "nodes", count }, { "ids", ids } });
+    }
+    return list;
+}
+
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
@@ -184,6 +206,8 @@
     message.report->term = leadership.term;
     message.report->zone = this->settings.zone;
     message.report->processorShare = this->settings.processorShare;
+    message.report->settingsDigest = settingsDigest(this->settings);
+    message.report->configurationRevision = this->board.traffic.value().revision;
     message.report->prompts = this->quarantines.makeReport(EventLoop::now());
     std::erase_if(message.report->workspaces, [](const auto& entry) { return entry.requestedPerSecond < minReportedDemand && entry.locallyGrantedUnits == 0 && entry.recentUse.inWindow == 0; });
     if (leadership.isCoordinator && leadership.hasCoordinator(BootClock::now())) {
@@ -413,7 +437,13 @@
 
 auto CoordinationController::dumpState() const -> nlohmann::json
 {
-    return { { "nodes", this->share.value().nodes }, { "known", this->nodeRecords.size() }, { "has_key", this->keyring.has_value() } };
+    nlohmann::json state { { "nodes", this->share.value().nodes }, { "known", this->nodeRecords.size() }, { "has_key", this->keyring.has_value() } };
+    if (this->board.leadership.value().isCoordinator) {
+        const auto now = EventLoop::now();
+        state["settings"] = groupNodes("digest", this->nodeRecords, now, [](const NodeReport& report) { return digestText(report.settingsDigest); });
+        state["configurations"] = groupNodes("revision", this->nodeRecords, now, [](const NodeReport& report) { return report.configurationRevision; });
+    }
+    return state;
 }
 
 } // namespace Primrosefork
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -225,6 +225,7 @@
     archive(value.upTime, value.term);
     serializeText(archive, value.zone);
     serializeAs<float>(archive, value.processorShare);
+    archive(value.settingsDigest, value.configurationRevision);
     serializeList(archive, value.workspaces);
     serializeList(archive, value.windows);
     serializeList(archive, value.services);
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -44,6 +44,8 @@
     std::uint64_t term = 0; ///< Term of the leader that the node knows; the recent use in the report is complete for that leader.
     std::string zone; ///< Data centre of the node.
     double processorShare = 0; ///< Processor cores that the node may use.
+    std::uint64_t settingsDigest = 0; ///< Digest of the settings that the node runs.
+    std::uint64_t configurationRevision = 0; ///< Store revision of the configuration in force on the node; 0 when there is none.
     std::vector<WorkspaceReport> workspaces;
     std::vector<WindowReport> windows; ///< The windows whose counts the leader has not confirmed.
     std::vector<ServiceReport> services;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -26,6 +26,7 @@
     , settings(nodeSettings)
     , systems(std::move(nodeSystems))
     , log(this->settings.logLevel)
+    , settingsMonitor(this->settings, this->metrics, this->log)
     , clockTimer(loop, [this] { this->sampleClock(); })
     , quotas(loop, this->settings, this->shared, this->metrics, this->log)
     , quarantines(*this->systems.store, this->metrics, this->log)
@@ -66,7 +67,7 @@
 {
     if (const auto error = this->beginListening())
         return error;
-    this->log.write(Event::NodeStarted, { { "node", this->settings.id }, { "zone", this->settings.zone }, { "callers", this->settings.callers.toString() } });
+    this->log.write(Event::NodeStarted, { { "node", this->settings.id }, { "zone", this->settings.zone }, { "callers", this->settings.callers.toString() }, { "digest", digestText(settingsDigest(this->settings)) } });
     this->sampleClock();
     this->clockTimer.startRepeating(clockPeriod);
     // First, since the number of nodes decides how the others follow the store.
@@ -108,23 +109,11 @@
     exchange->respond({ HttpStatus::notFound, {}, "" });
 }
 
-auto GatewayNode::settingsReloaded(const GatewaySettings& next) -> void
-{
-    // Addresses and identity are fixed for the lifetime of the process; the bounds are read at each decision.
-    this->settings.bounds = next.bounds;
-    this->log.write(Event::SettingsReloaded, { { "node", this->settings.id } });
-}
-
-auto GatewayNode::settingsRejected(const Findings& findings) -> void
-{
-    this->log.write(Event::SettingsRejected, { { "findings", formatFindings(findings) } });
-}
-
 auto GatewayNode::dumpState() const -> nlohmann::json
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->usageReports, &this->fleet, &this->forwarding })
+             &this->settingsMonitor, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->usageReports, &this->fleet, &this->forwarding })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -19,6 +19,7 @@
 #include "registrycontroller.h"
 #include "relaycontroller.h"
 #include "runmover.h"
+#include "settingsmonitor.h"
 #include "stopcontroller.h"
 #include "trafficcontroller.h"
 #include "trafficdocuments.h"
@@ -53,10 +54,10 @@
     auto requestStop(const char* reason) -> void { this->lifecycle.requestStop(reason); }
 
     /** Applies the bounds of \a next, the settings file as read again; everything else needs a restart. */
-    auto settingsReloaded(const GatewaySettings& next) -> void;
+    auto settingsReloaded(const GatewaySettings& next) -> void { this->settingsMonitor.reloaded(next); }
 
-    /** Logs \a findings: the settings file was read again and is invalid, so the old settings stay. */
-    auto settingsRejected(const Findings& findings) -> void;
+    /** Records \a findings: the settings file was read again and is invalid, so the old settings stay. */
+    auto settingsRejected(const Findings& findings) -> void { this->settingsMonitor.rejected(findings); }
 
     /** Writes the state dump to standard error. */
     auto writeStateDump() const -> void;
@@ -76,6 +77,7 @@
     Metrics metrics;
     GatewayBoard shared;
     WallClock clock;
+    SettingsMonitor settingsMonitor;
     Timer clockTimer;
     QuotaController quotas;
     QuarantineController quarantines;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -1,8 +1,11 @@
 #include "gatewaysettings.h"
 
+#include "hash.h"
 #include "jsonreader.h"
 
 #include <array>
+#include <iomanip>
+#include <sstream>
 
 using namespace std::chrono_literals;
 
@@ -93,4 +96,64 @@
     return settings;
 }
 
+auto sharedSettings(const GatewaySettings& settings) -> nlohmann::json
+{
+    const auto& bounds = settings.bounds;
+    return {
+        { "bounds",
+            {
+                { "drain", bounds.drain.count() },
+                { "stop_grace", bounds.stopGrace.count() },
+                { "configuration", bounds.configuration.count() },
+                { "revocation", bounds.revocation.count() },
+                { "leadership", bounds.leadership.count() },
+                { "usage_window", bounds.usageWindow.count() },
+                { "usage_due", bounds.usageDue.count() },
+                { "attempt_window", bounds.attemptWindow.count() },
+                { "attempt_ratio", bounds.attemptRatio },
+                { "attempt_slack", bounds.attemptSlack },
+                { "quota_window", bounds.quotaWindow.count() },
+                { "quota_excess", bounds.quotaExcess },
+                { "quota_slack", bounds.quotaSlack },
+            } },
+        { "log_level", settings.logLevel },
+    };
+}
+
+auto settingsDigest(const GatewaySettings& settings) -> std::uint64_t
+{
+    return hash64(sharedSettings(settings).dump());
+}
+
+auto digestText(std::uint64_t digest) -> std::string
+{
+    constexpr int digits = 2 * sizeof(digest);
+    std::ostringstream text;
+    text << std::hex << std::setw(digits) << std::setfill('0') << digest;
+    return text.str();
+}
+
+auto fixedDifferences(const GatewaySettings& current, const GatewaySettings& next) -> std::vector<std::string>
+{
+    const std::pair<const char*, bool> fields[] = {
+        { "/node/id", current.id == next.id },
+        { "/node/zone", current.zone == next.zone },
+        { "/node/region", current.region == next.region },
+        { "/node/processor_share", current.processorShare == next.processorShare },
+        { "/listen/callers", current.callers == next.callers },
+        { "/listen/readiness", current.readiness == next.readiness },
+        { "/listen/peers", current.peers == next.peers },
+        { "/listen/operators", current.operators == next.operators },
+        { "/systems/key_value_service", current.keyValueService == next.keyValueService },
+        { "/systems/fleet_api", current.fleetApi == next.fleetApi },
+        { "/log_level", current.logLevel == next.logLevel },
+    };
+    std::vector<std::string> paths;
+    for (const auto& [path, isSame] : fields) {
+        if (!isSame)
+            paths.emplace_back(path);
+    }
+    return paths;
+}
+
 } // namespace Primrosefork
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -5,8 +5,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Primrosefork {
 
@@ -56,4 +58,19 @@
  */
 [[nodiscard]] auto parseGatewaySettings(std::string_view text, Findings& findings) -> GatewaySettings;
 
+/**
+ * Returns those of the \a settings that are meant to be the same on all nodes, by
+ * their names in the settings file; durations are in milliseconds.
+ */
+[[nodiscard]] auto sharedSettings(const GatewaySettings& settings) -> nlohmann::json;
+
+/** Returns a digest of the shared \a settings, which is the same for files that mean the same. */
+[[nodiscard]] auto settingsDigest(const GatewaySettings& settings) -> std::uint64_t;
+
+/** Returns \a digest as operators see it: 16 lower-case hexadecimal digits. */
+[[nodiscard]] auto digestText(std::uint64_t digest) -> std::string;
+
+/** Returns the paths of the fields in which \a next differs from \a current although they hold for the life of a process. */
+[[nodiscard]] auto fixedDifferences(const GatewaySettings& current, const GatewaySettings& next) -> std::vector<std::string>;
+
 } // namespace Primrosefork
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -16,6 +16,8 @@
     report.processorShare = 0.12;
     report.workspaces = { { "salon", 12.5F, 70'000.25, { 1, 2, 3 } }, { "kiosk", 1, 0, {} } };
     report.windows = { { 353'445'120, { { "salon", 412 }, { "kiosk", 1 } } } };
+    report.settingsDigest = 1ULL << 63U;
+    report.configurationRevision = 901;
     report.services = { { "llm", 8'000, 30'000, 5, 1, 2 } };
     report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 0xffffffff, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms }, { 18, 59s } } } },
         { { 5, 1s }, { 6, std::nullopt } }, { { 9, 10min } } } };
@@ -72,6 +74,8 @@
     CHECK(report.workspaces[1].workspace == "kiosk");
     CHECK(report.windows.front().counts == UsageCounts { { "salon", 412 }, { "kiosk", 1 } });
     CHECK(report.services.front().openRequests == 5);
+    CHECK(report.settingsDigest == 1ULL << 63U);
+    CHECK(report.configurationRevision == 901);
     REQUIRE(report.prompts.size() == 1);
     const auto& prompts = report.prompts.front();
     CHECK(prompts.begun == std::vector<std::uint16_t> { 7, 0 });
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -63,4 +63,57 @@
     }
 }
 
+struct DigestCase {
+    const char* name;
+    const char* pointer;
+    Json value;
+    bool isNewDigest;
+    std::vector<std::string> fixedDifferences;
+};
+
+const DigestCase digestCases[] = {
+    { "the same bound with another unit", "/bounds/drain", "3000ms", false, {} },
+    { "a default that is spelled out", "/bounds/usage_window", "5s", false, {} },
+    { "drain", "/bounds/drain", "4s", true, {} },
+    { "stop grace", "/bounds/stop_grace", "9s", true, {} },
+    { "configuration", "/bounds/configuration", "1s", true, {} },
+    { "revocation", "/bounds/revocation", "6s", true, {} },
+    { "leadership", "/bounds/leadership", "4s", true, {} },
+    { "usage window", "/bounds/usage_window", "6s", true, {} },
+    { "usage due", "/bounds/usage_due", "11s", true, {} },
+    { "attempt window", "/bounds/attempt_window", "11s", true, {} },
+    { "attempt ratio", "/bounds/attempt_ratio", 0.25, true, {} },
+    { "attempt slack", "/bounds/attempt_slack", 51, true, {} },
+    { "quota window", "/bounds/quota_window", "9s", true, {} },
+    { "quota excess", "/bounds/quota_excess", 0.2, true, {} },
+    { "quota slack", "/bounds/quota_slack", 0, true, {} },
+    { "log level", "/log_level", "warn", true, { "/log_level" } },
+    { "id", "/node/id", "n2", false, { "/node/id" } },
+    { "zone", "/node/zone", "b", false, { "/node/zone" } },
+    { "region", "/node/region", "s", false, { "/node/region" } },
+    { "processor share", "/node/processor_share", 0.5, false, { "/node/processor_share" } },
+    { "callers", "/listen/callers", "127.0.0.1:9", false, { "/listen/callers" } },
+    { "readiness", "/listen/readiness", "127.0.0.1:9", false, { "/listen/readiness" } },
+    { "peers", "/listen/peers", "127.0.0.1:9", false, { "/listen/peers" } },
+    { "operators", "/listen/operators", "127.0.0.1:9", false, { "/listen/operators" } },
+    { "store", "/systems/key_value_service", "127.0.0.1:9", false, { "/systems/key_value_service" } },
+    { "fleet API", "/systems/fleet_api", "127.0.0.1:9", false, { "/systems/fleet_api" } },
+};
+
+TEST_CASE("the digest tells whether two files mean the same, and what differs for the life of a process is named")
+{
+    Findings findings;
+    const auto current = parseGatewaySettings(validSettings().dump(), findings);
+    for (const auto& row : digestCases) {
+        CAPTURE(row.name);
+        auto json = validSettings();
+        json[Json::json_pointer(row.pointer)] = row.value;
+        const auto next = parseGatewaySettings(json.dump(2), findings);
+        REQUIRE(findings.empty());
+        CHECK((settingsDigest(next) != settingsDigest(current)) == row.isNewDigest);
+        CHECK(fixedDifferences(current, next) == row.fixedDifferences);
+    }
+    CHECK(digestText(0x1f) == "000000000000001f");
+}
+
 } // namespace
