--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -104,7 +104,7 @@
     if (path == "/metrics")
         return exchange->respond({ HttpStatus::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.toText() });
     if (path == "/state")
-        return exchange->respond({ HttpStatus::ok, { { "Content-Type", "application/json" } }, this->dumpState().dump(2) });
+        return exchange->respond({ HttpStatus::ok, { { "Content-Type", "application/json" } }, this->stateText() });
     exchange->respond({ HttpStatus::notFound, {}, "" });
 }
 
@@ -129,10 +129,16 @@
     return state;
 }
 
+auto GatewayNode::stateText() const -> std::string
+{
+    // Request ids are whatever callers sent, also bytes that are not UTF-8.
+    return this->dumpState().dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 auto GatewayNode::writeStateDump() const -> void
 {
     this->log.write(Event::StateDumped, { { "node", this->settings.id } });
-    std::cerr << this->dumpState().dump(2) << std::endl;
+    std::cerr << this->stateText() << std::endl;
 }
 
 } // namespace Primrosefork
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -68,6 +68,7 @@
     auto answerOperator(const std::shared_ptr<HttpExchange>&) -> void;
     auto sampleClock() -> void;
     [[nodiscard]] auto dumpState() const -> nlohmann::json;
+    [[nodiscard]] auto stateText() const -> std::string;
 
     EventLoop& loop;
     GatewaySettings settings;
--- a/src/systems/runmover.h
+++ b/src/systems/runmover.h
@@ -31,6 +31,7 @@
     /**
      * Stops the run of \a requestId at \a source and copies its KV cache to \a destination.
      * After an error there is no copy: the run continues at \a source, or has ended.
+     * The handler may be called within this call.
      */
     virtual auto move(const Address& source, const std::string& requestId, const Address& destination, Handler) -> void = 0;
 };
--- a/tests/gateway/test_forwarding.cpp
+++ b/tests/gateway/test_forwarding.cpp
@@ -123,6 +123,18 @@
     }
 }
 
+TEST_CASE("the state dump shows a request whose id is not UTF-8")
+{
+    ForwardingFixture fixture("app", [](const std::string&) -> ScriptedAnswer { return { "HTTP/1.1 100 X\r\n\r\n" }; });
+    RawCaller caller(fixture.loop, fixture.settings.callers);
+    caller.send(GatewayFixture::makeRequest("/once/", "r\xff"));
+    REQUIRE(fixture.runUntil([&fixture] { return fixture.requestCount() == 1; }));
+    std::string state;
+    fixture.client.fetch(fixture.settings.operators, { "GET", "/state", "", {}, "" }, {}, [&state](std::error_code, const HttpResponse& response) { state = response.body; });
+    REQUIRE(fixture.runUntil([&state] { return !state.empty(); }));
+    CHECK(state.find("r\xef\xbf\xbd") != std::string::npos);
+}
+
 struct RepeatCase {
     const char* name;
     const char* prefix;
