Platform: Bounded the numbers in callers' and servers' headers

Callers saw: token counts below zero, beyond the range of their type or that are no numbers cost nothing, or gave units of a quota back; the sum of two large counts overflowed into a negative one. A deadline near the limits of its type made the time of the deadline overflow, and the request was refused as late.

Cause: numbers were taken as read; unreadable ones counted as 0.

Change: counts of tokens and requests, and sizes of prompt parts, are from 0 to 10^9 and deadlines from 0 to 24 h; larger ones are cut to that. Token counts of which one is unreadable are none, so the request is charged like one without counts.

--- a/tests/platform/test_headers.cpp
+++ b/tests/platform/test_headers.cpp
@@ -24,6 +24,71 @@
     CHECK(fields.lastEventId == "17");
 }
 
+struct CountCase {
+    const char* name;
+    const char* value;
+    bool hasCounts;
+    std::int64_t promptTokens;
+    std::int64_t outputTokens;
+};
+
+const CountCase countCases[] = {
+    { "two numbers", "1460,80", true, 1'460, 80 },
+    { "spaces around the numbers", " 1460 , 80 ", true, 1'460, 80 },
+    { "negative numbers", "-1460,-80", true, 0, 0 },
+    { "the largest number of the type", "9223372036854775807,9223372036854775807", true, 1'000'000'000, 1'000'000'000 },
+    { "a number beyond the range of the type", "99999999999999999999,80", true, 1'000'000'000, 80 },
+    { "text instead of a number", "many,80", false, 0, 0 },
+    { "an empty number", ",80", false, 0, 0 },
+    { "one number", "1460", false, 0, 0 },
+    { "three numbers", "1,2,3", false, 0, 0 },
+};
+
+TEST_CASE("token counts are not negative and limited, and are missing if one of them is unreadable")
+{
+    for (const auto& row : countCases) {
+        CAPTURE(row.name);
+        const auto fields = PlatformHeaders().readCaller({ { "X-Token-Counts", row.value } });
+        CHECK(fields.hasTokenCounts == row.hasCounts);
+        CHECK(fields.promptTokens == row.promptTokens);
+        CHECK(fields.outputTokens == row.outputTokens);
+    }
+}
+
+struct DeadlineCase {
+    const char* name;
+    const char* value;
+    std::optional<std::chrono::milliseconds> deadline;
+};
+
+const DeadlineCase deadlineCases[] = {
+    { "a number", "6000", 6s },
+    { "zero", "0", 0ms },
+    { "a negative number", "-1", 0ms },
+    { "the smallest number of the type", "-9223372036854775808", 0ms },
+    { "the largest number of the type", "9223372036854775807", 24h },
+    { "a number beyond the range of the type", "99999999999999999999", 24h },
+    { "text", "soon", {} },
+    { "a fraction", "1.5", {} },
+};
+
+TEST_CASE("a deadline is between now and a day")
+{
+    for (const auto& row : deadlineCases) {
+        CAPTURE(row.name);
+        CHECK(PlatformHeaders().readCaller({ { "X-Deadline-Ms", row.value } }).deadline == row.deadline);
+    }
+}
+
+TEST_CASE("the sizes of prompt parts are not negative and limited")
+{
+    const auto parts = PlatformHeaders().readCaller({ { "X-Prompt-Prefix", "1:-5,2:9223372036854775807,3:x,4:7" } }).promptParts;
+    REQUIRE(parts.size() == 3);
+    CHECK(parts[0].tokens == 0);
+    CHECK(parts[1].tokens == 1'000'000'000);
+    CHECK(parts[2].id == 4);
+}
+
 struct CredentialCase {
     const char* name;
     const char* value;
@@ -187,4 +252,14 @@
     CHECK_FALSE(PlatformHeaders().readReply(200, { { "X-Instance-Load", "3" } }).load.has_value());
 }
 
+TEST_CASE("the load of a server is not negative and limited")
+{
+    const auto reply = PlatformHeaders().readReply(200, { { "X-Instance-Load", "-3,9223372036854775807,9223372036854775807,9223372036854775807" } });
+    REQUIRE(reply.load.has_value());
+    CHECK(reply.load->running == 0);
+    CHECK(reply.load->waiting == 1'000'000'000);
+    CHECK(reply.load->slots == 1'000'000'000);
+    CHECK(reply.load->slownessPercent == 1'000'000'000);
+}
+
 } // namespace
