Gateway: Read messages between nodes with all numbers in range

Operators may see, when one node sends wrong numbers (also an older or faulty one, its signature is valid): a rate that is not a number made the quota account of a workspace so for good, ages at the limits of their type overflowed when they were taken from a time, flags had values that a bool can't have (undefined), and a name that is not UTF-8 ended the leader when it wrote or reported the usage.

Cause: the decoder checked lengths only.

Change: amounts are from 0 to 10^15, shares from 0 to 1, times from 0 to 100 years, in both directions; what is not a number is 0; flags are read as 0 or 1; a message with an enumerator that is not defined is refused. The bytes of valid messages are the same as before, so nodes of both versions understand each other. Records and reports replace bytes that are not UTF-8.

--- a/src/gateway/fleetcontroller.cpp
+++ b/src/gateway/fleetcontroller.cpp
@@ -113,7 +113,7 @@
     if (!this->isRecordLoaded || current == this->recordedNeeds || std::exchange(this->isStoreCallInFlight, true))
         return;
     const nlohmann::json json(current);
-    this->store.compareAndSwap({ neededKey, this->recordRevision, json.dump(), 0 },
+    this->store.compareAndSwap({ neededKey, this->recordRevision, json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), 0 },
         [this, current, usedFence = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
             if (!*alive || usedFence != this->fence)
                 return;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -4,8 +4,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/chrono.hpp>
-#include <cereal/types/optional.hpp>
+#include <cmath>
 #include <exception>
 #include <limits>
 #include <map>
@@ -66,6 +65,17 @@
     return size;
 }
 
+// Numbers and times are brought into range both ways, so that what arrives is in range whatever another node sent.
+
+constexpr double maxAmount = 1e15; ///< Bound of rates and sums of units, above any quota.
+constexpr std::chrono::milliseconds maxTime = std::chrono::hours(876'000); ///< A hundred years, which every time type can hold.
+
+/** Returns the number in the range from 0 to \a maximum that is next to \a amount, and 0 when it is not a number. */
+auto limitedAmount(double amount, double maximum) -> double
+{
+    return std::isnan(amount) ? 0 : std::clamp(amount, 0.0, maximum);
+}
+
 template <typename Archive>
 auto serializeText(Archive& archive, std::string& text) -> void
 {
@@ -90,6 +100,53 @@
     value = static_cast<Value>(wire);
 }
 
+template <typename Archive>
+auto serializeFlag(Archive& archive, bool& flag) -> void
+{
+    // Only 0 and 1 are values of a bool.
+    std::uint8_t wire = flag ? 1 : 0;
+    archive(wire);
+    flag = wire != 0;
+}
+
+template <typename Archive, typename Value>
+auto serializeOptional(Archive& archive, std::optional<Value>& value) -> void
+{
+    auto isEmpty = !value.has_value();
+    serializeFlag(archive, isEmpty);
+    if (isEmpty)
+        return value.reset();
+    if (!value)
+        value.emplace();
+    archive(*value);
+}
+
+/** Serialises \a value, one of the enumerators up to \a last. */
+template <typename Archive, typename Enumeration>
+auto serializeEnumerator(Archive& archive, Enumeration& value, Enumeration last) -> void
+{
+    archive(value);
+    if (Archive::is_loading::value && value > last)
+        throw cereal::Exception("not an enumerator");
+}
+
+template <typename Wire = float, typename Archive, typename Value>
+auto serializeAmount(Archive& archive, Value& value, double maximum = maxAmount) -> void
+{
+    auto wire = static_cast<Wire>(limitedAmount(value, maximum));
+    archive(wire);
+    value = static_cast<Value>(limitedAmount(wire, maximum));
+}
+
+/** Serialises \a time, which is not negative, in eight bytes. */
+template <typename Archive>
+auto serializeLongTime(Archive& archive, std::chrono::milliseconds& time) -> void
+{
+    auto count = std::clamp<std::int64_t>(time.count(), 0, maxTime.count());
+    archive(count);
+    time = std::chrono::milliseconds(std::clamp<std::int64_t>(count, 0, maxTime.count()));
+}
+
 /** Serialises \a time, which is not negative and at most 49 days, in four bytes. */
 template <typename Archive>
 auto serializeTime(Archive& archive, std::chrono::milliseconds& time) -> void
@@ -117,9 +174,9 @@
 template <typename Archive>
 static auto serialize(Archive& archive, RecentUse& value) -> void
 {
-    serializeAs<float>(archive, value.inShortSpan);
-    serializeAs<float>(archive, value.inMiddleSpan);
-    serializeAs<float>(archive, value.inWindow);
+    serializeAmount(archive, value.inShortSpan);
+    serializeAmount(archive, value.inMiddleSpan);
+    serializeAmount(archive, value.inWindow);
 }
 
 template <typename Archive>
@@ -128,9 +185,11 @@
     auto hasLocalGrants = value.locallyGrantedUnits > 0;
     auto hasRecentUse = value.recentUse.inWindow > 0;
     serializeText(archive, value.workspace);
-    archive(value.requestedPerSecond, hasLocalGrants, hasRecentUse);
+    serializeAmount(archive, value.requestedPerSecond);
+    serializeFlag(archive, hasLocalGrants);
+    serializeFlag(archive, hasRecentUse);
     if (hasLocalGrants)
-        archive(value.locallyGrantedUnits);
+        serializeAmount<double>(archive, value.locallyGrantedUnits);
     if (hasRecentUse)
         archive(value.recentUse);
 }
@@ -152,8 +211,8 @@
 static auto serialize(Archive& archive, ServiceReport& value) -> void
 {
     serializeText(archive, value.service);
-    serializeAs<float>(archive, value.readTokensPerSecond);
-    serializeAs<float>(archive, value.engineTokensPerSecond);
+    serializeAmount(archive, value.readTokensPerSecond);
+    serializeAmount(archive, value.engineTokensPerSecond);
     serializeAs<std::uint32_t>(archive, value.openRequests);
     serializeAs<std::uint32_t>(archive, value.waitingRequests);
     serializeAs<std::uint32_t>(archive, value.openStreams);
@@ -184,7 +243,8 @@
 static auto serialize(Archive& archive, PromptBegin& value) -> void
 {
     auto hasAge = value.age.has_value();
-    archive(value.part, hasAge);
+    archive(value.part);
+    serializeFlag(archive, hasAge);
     if (!hasAge)
         return;
     auto age = value.age.value_or(std::chrono::milliseconds(0));
@@ -222,9 +282,10 @@
 template <typename Archive>
 static auto serialize(Archive& archive, NodeReport& value) -> void
 {
-    archive(value.upTime, value.term);
+    serializeLongTime(archive, value.upTime);
+    archive(value.term);
     serializeText(archive, value.zone);
-    serializeAs<float>(archive, value.processorShare);
+    serializeAmount(archive, value.processorShare);
     serializeList(archive, value.workspaces);
     serializeList(archive, value.windows);
     serializeList(archive, value.services);
@@ -235,7 +296,7 @@
 static auto serialize(Archive& archive, QuotaShare& value) -> void
 {
     serializeText(archive, value.workspace);
-    serializeAs<float>(archive, value.share);
+    serializeAmount(archive, value.share, 1);
 }
 
 template <typename Archive>
@@ -248,12 +309,16 @@
 template <typename Archive>
 static auto serialize(Archive& archive, FleetAnswer& value) -> void
 {
-    archive(value.nodes, value.term, value.reportSequence, value.configurationRevision, value.configurationAge, value.registryRevision, value.registryAge, value.otherShare);
+    archive(value.nodes, value.term, value.reportSequence, value.configurationRevision);
+    serializeLongTime(archive, value.configurationAge);
+    archive(value.registryRevision);
+    serializeLongTime(archive, value.registryAge);
+    serializeAmount<double>(archive, value.otherShare, 1);
     serializeList(archive, value.shares);
     serializeList(archive, value.streamEngines);
     serializeList(archive, value.observers);
     serializeList(archive, value.prompts);
-    archive(value.hasAllQuarantines);
+    serializeFlag(archive, value.hasAllQuarantines);
 }
 
 template <typename Archive>
@@ -261,13 +326,15 @@
 {
     archive(value.number);
     serializeText(archive, value.workspace);
-    archive(value.units);
+    serializeAmount<double>(archive, value.units);
 }
 
 template <typename Archive>
 static auto serialize(Archive& archive, QuotaReply& value) -> void
 {
-    archive(value.number, value.verdict, value.wait);
+    archive(value.number);
+    serializeEnumerator(archive, value.verdict, QuotaVerdict::NoAccount);
+    serializeLongTime(archive, value.wait);
 }
 
 template <typename Archive>
@@ -275,7 +342,8 @@
 {
     serializeText(archive, value.key);
     serializeText(archive, value.value);
-    archive(value.revision, value.isDeleted);
+    archive(value.revision);
+    serializeFlag(archive, value.isDeleted);
 }
 
 template <typename Archive>
@@ -289,14 +357,25 @@
 template <typename Archive>
 static auto serialize(Archive& archive, RelayPart& value) -> void
 {
-    archive(value.topic, value.upTo, value.hasMore, value.age, value.sinceRecovery);
+    serializeEnumerator(archive, value.topic, RelayTopic::Leader);
+    archive(value.upTo);
+    serializeFlag(archive, value.hasMore);
+    serializeLongTime(archive, value.age);
+    auto hasNoOutage = !value.sinceRecovery.has_value();
+    auto sinceRecovery = value.sinceRecovery.value_or(std::chrono::milliseconds(0));
+    serializeFlag(archive, hasNoOutage);
+    if (!hasNoOutage)
+        serializeLongTime(archive, sinceRecovery);
+    value.sinceRecovery = hasNoOutage ? std::nullopt : std::optional(sinceRecovery);
     serializeList(archive, value.entries);
 }
 
 template <typename Archive>
 static auto serialize(Archive& archive, RelayReply& value) -> void
 {
-    archive(value.number, value.configurationRevision, value.configurationAge, value.isFollowing);
+    archive(value.number, value.configurationRevision);
+    serializeLongTime(archive, value.configurationAge);
+    serializeFlag(archive, value.isFollowing);
     serializeList(archive, value.parts);
 }
 
@@ -304,7 +383,13 @@
 static auto serialize(Archive& archive, FleetMessage& value) -> void
 {
     serializeText(archive, value.sender);
-    archive(value.session, value.sequence, value.report, value.answer, value.quotaRequest, value.quotaReply, value.relayRequest, value.relayReply);
+    archive(value.session, value.sequence);
+    serializeOptional(archive, value.report);
+    serializeOptional(archive, value.answer);
+    serializeOptional(archive, value.quotaRequest);
+    serializeOptional(archive, value.quotaReply);
+    serializeOptional(archive, value.relayRequest);
+    serializeOptional(archive, value.relayReply);
 }
 
 auto encodeFleetMessage(const FleetMessage& message) -> std::string
--- a/src/gateway/usagecontroller.cpp
+++ b/src/gateway/usagecontroller.cpp
@@ -170,7 +170,7 @@
     Json json = Json::object();
     for (const auto& [number, counts] : windows)
         json[std::to_string(number)] = counts;
-    this->store.compareAndSwap({ usageKey, this->record.revision, json.dump(), 0 },
+    this->store.compareAndSwap({ usageKey, this->record.revision, json.dump(-1, ' ', false, Json::error_handler_t::replace), 0 },
         [this, window, windows, usedFence = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
             if (!*alive || usedFence != this->fence)
                 return;
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -1,6 +1,7 @@
 #include "fleetmessage.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <random>
 
 using namespace Primrosefork;
@@ -122,6 +123,52 @@
     CHECK(part.sinceRecovery == 3s);
 }
 
+/** Values of another node that its message cannot have, and what is read instead. */
+TEST_CASE("numbers and times out of range are read as ones in range")
+{
+    FleetMessage message;
+    message.report = makeReport();
+    message.report->upTime = -5ms;
+    message.report->processorShare = std::numeric_limits<double>::quiet_NaN();
+    message.report->workspaces.front().requestedPerSecond = std::numeric_limits<float>::infinity();
+    message.report->workspaces.front().locallyGrantedUnits = -1;
+    message.report->services.front().readTokensPerSecond = std::numeric_limits<double>::max();
+    message.answer = makeAnswer();
+    message.answer->configurationAge = std::chrono::milliseconds::max();
+    message.answer->registryAge = std::chrono::milliseconds::min();
+    message.answer->otherShare = std::numeric_limits<double>::quiet_NaN();
+    message.answer->shares.front().share = 7;
+    message.quotaRequest = { 1, "salon", std::numeric_limits<double>::quiet_NaN() };
+    message.relayReply = makeRelayReply();
+    message.relayReply->parts.front().age = std::chrono::milliseconds::max();
+    message.relayReply->parts.front().sinceRecovery = -1ms;
+    const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->report->upTime == 0ms);
+    CHECK(decoded->report->processorShare == 0);
+    CHECK(decoded->report->workspaces.front().requestedPerSecond == doctest::Approx(1e15));
+    CHECK(decoded->report->workspaces.front().locallyGrantedUnits == 0);
+    CHECK(decoded->report->services.front().readTokensPerSecond == doctest::Approx(1e15));
+    CHECK(decoded->answer->configurationAge == 876'000h);
+    CHECK(decoded->answer->registryAge == 0ms);
+    CHECK(decoded->answer->otherShare == 0);
+    CHECK(decoded->answer->shares.front().share == 1);
+    CHECK(decoded->quotaRequest->units == 0);
+    CHECK(decoded->relayReply->parts.front().age == 876'000h);
+    CHECK(decoded->relayReply->parts.front().sinceRecovery == 0ms);
+}
+
+TEST_CASE("a message with a kind of value that is not defined is refused")
+{
+    FleetMessage reply;
+    reply.quotaReply = { 1, static_cast<QuotaVerdict>(3), 0ms };
+    CHECK_FALSE(decodeFleetMessage(encodeFleetMessage(reply)).has_value());
+    FleetMessage relayed;
+    relayed.relayReply = makeRelayReply();
+    relayed.relayReply->parts.front().topic = static_cast<RelayTopic>(3);
+    CHECK_FALSE(decodeFleetMessage(encodeFleetMessage(relayed)).has_value());
+}
+
 /** A node of a large fleet has a few requests of a few workspaces between two reports. */
 TEST_CASE("a report of a node in a large fleet fits into a small datagram")
 {
