Forwarding: Ended answers that are longer than a node buffers

Callers saw: an answer of more than 8 MiB that is no stream was passed on without the bytes that did not fit, with status 200, as if it were complete. An event without an end was buffered without a limit until the deadline.

Cause: bytes beyond the limit were skipped, so the size that the end of the attempt checked was never above it; the limit did not apply to events.

Ruled out: passing the bytes on as they come; then a lost server could no longer be replaced by another one.

Change: an answer, or one event, above the limit ends the attempt at once, its connection is closed, and the attempt counts as one that may have run: 502, or another attempt where the route allows it. It is no evidence of a crash.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -17,7 +17,7 @@
 
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
-constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream; twice the largest request.
+constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream, and for one event of a stream; twice the largest request.
 constexpr std::chrono::milliseconds deadlineGrace = 100ms; ///< Time for a response that the server sends at the deadline to arrive.
 constexpr std::chrono::milliseconds minRemainingTime = 5ms; ///< Shortest time before the deadline at which a request is still sent.
 constexpr std::chrono::milliseconds defaultServerWait = 100ms; ///< Longest wait for a server if the route has no objective.
@@ -174,17 +174,27 @@
 {
     auto& current = *this->attempt;
     if (!current.isEventStream) {
-        if (current.body.size() + bytes.size() <= maxBufferedResponse)
-            current.body += bytes;
+        if (current.body.size() + bytes.size() > maxBufferedResponse)
+            return this->responseTooLong();
+        current.body += bytes;
         return;
     }
     if (!current.reply.isSealed)
         return;
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
+    if (current.events.pendingBytes() > maxBufferedResponse)
+        return this->responseTooLong();
     if (this->exchange->isCongested())
         current.call->pause();
 }
 
+auto ForwardRun::responseTooLong() -> void
+{
+    this->attempt->isTooLong = true;
+    this->attempt->call->cancel();
+    this->attemptEnded(CallOutcome::Complete);
+}
+
 auto ForwardRun::eventReceived(const StreamEvent& event) -> void
 {
     auto& current = *this->attempt;
@@ -214,9 +224,9 @@
 {
     auto& current = *this->attempt;
     current.call.reset();
-    const auto hasResponse = outcome == CallOutcome::Complete && current.body.size() <= maxBufferedResponse;
-    if (hasResponse && current.reply.isNotRun)
+    if (outcome == CallOutcome::Complete && current.reply.isNotRun)
         return this->attemptRefused(current);
+    const auto hasResponse = outcome == CallOutcome::Complete && !current.isTooLong;
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
     const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding") && !current.events.hasPartialEvent();
     if (hasResponse && isSuccess && isIntact && !current.hasEvent)
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -24,6 +24,7 @@
     EventSplitter events;
     bool isEventStream = false;
     bool hasEvent = false;
+    bool isTooLong = false; ///< Whether the response, or an event in it, is longer than the node buffers.
 };
 
 /**
@@ -73,6 +74,7 @@
     auto headReceived(const MessageHead&, const ReplyFields&) -> void;
     auto bodyReceived(std::string_view) -> void;
     auto eventReceived(const StreamEvent&) -> void;
+    auto responseTooLong() -> void;
     auto attemptEnded(CallOutcome) -> void;
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
--- a/tests/gateway/test_forwarding.cpp
+++ b/tests/gateway/test_forwarding.cpp
@@ -97,6 +97,20 @@
     std::size_t requestCount; ///< Number of requests that the only server gets.
 };
 
+constexpr std::size_t tooLong = 9'437'184; ///< Size in bytes above what a node buffers of an answer.
+
+auto sendsTooMuch(const std::string& request) -> ScriptedAnswer
+{
+    return { GatewayFixture::answerTo(request, 200, std::string(tooLong, 'x')) };
+}
+
+/** Begins an event that has no end, and goes on with nothing. */
+auto sendsEndlessEvent(const std::string& request) -> ScriptedAnswer
+{
+    return { "HTTP/1.1 200 X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id")
+        + "\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n900000\r\n" + std::string(tooLong, 'x') + "\r\n" };
+}
+
 const OutcomeCase outcomeCases[] = {
     { "a call that must not be repeated succeeds", "/once/", succeeds, "HTTP/1.1 200", 1 },
     { "the server refuses the call, so it was not executed", "/once/", refuses, "HTTP/1.1 503", 1 },
@@ -107,6 +121,8 @@
     { "a success without its seal", "/once/", omitsSeal, "HTTP/1.1 502", 1 },
     { "the answer is not valid HTTP", "/once/", sendsGarbage, "HTTP/1.1 502", 1 },
     { "the answer has a content encoding", "/once/", encodesAnswer, "HTTP/1.1 502", 1 },
+    { "the answer is longer than a node buffers", "/once/", sendsTooMuch, "HTTP/1.1 502", 1 },
+    { "an event is longer than a node buffers", "/once/", sendsEndlessEvent, "HTTP/1.1 502", 1 },
     { "the end of the connection ends the answer", "/once/", omitsLength, "HTTP/1.1 200", 1 },
 };
 
