Forwarding: Limited the keep-alive time of servers

A server that announces a keep-alive time near the limit of its type made the time until which its connection may be used overflow (undefined). Found by reading; the sanitized node fuzz test covers the place.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -5,6 +5,7 @@
 #include "socketoptions.h"
 #include "units.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <event2/buffer.h>
@@ -20,6 +21,7 @@
 
 constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< Size limit for the headers of a response; far above what servers send.
 constexpr std::chrono::milliseconds defaultKeepAlive = 4s; ///< Assumed for servers that send no keep-alive timeout.
+constexpr std::chrono::seconds maxKeepAlive = 24h; ///< Longer keep-alive timeouts are cut to this.
 constexpr std::chrono::milliseconds keepAliveMargin = 500ms; ///< Subtracted from the timeout: covers the transit time of the next request and the rounding to whole seconds.
 constexpr int firstFinalStatus = 200;
 constexpr int firstErrorStatus = 400;
@@ -136,7 +138,7 @@
     if (const auto text = headers.get("Keep-Alive")) {
         const auto place = text->find(parameter);
         if (place != std::string::npos)
-            keepAlive = std::chrono::seconds(std::strtol(text->c_str() + place + parameter.size(), nullptr, 10));
+            keepAlive = std::chrono::seconds(std::clamp<std::int64_t>(std::strtol(text->c_str() + place + parameter.size(), nullptr, 10), 0, maxKeepAlive.count()));
     }
     this->reuseDeadline = EventLoop::now() + keepAlive - keepAliveMargin;
 }
