MessageParser: Kept fields after a chunked body apart from headers

All but the last field after a chunked body were added to the headers of the message after it was handed on, up to the 80 KB that http_parser takes. Nothing used them there. They are ignored now.

--- a/src/forwarding/messageparser.cpp
+++ b/src/forwarding/messageparser.cpp
@@ -100,6 +100,9 @@
 
 auto MessageParser::addHeaderField(std::string_view text) -> void
 {
+    // Fields after the body are no headers.
+    if (this->isHeadComplete)
+        return;
     if (this->isInValue)
         this->flushHeader();
     this->fieldName += text;
@@ -107,6 +110,8 @@
 
 auto MessageParser::addHeaderValue(std::string_view text) -> void
 {
+    if (this->isHeadComplete)
+        return;
     this->isInValue = true;
     this->fieldValue += text;
 }
--- a/tests/forwarding/test_messageparser.cpp
+++ b/tests/forwarding/test_messageparser.cpp
@@ -75,6 +75,15 @@
     CHECK(parsed.consumed == first.size());
 }
 
+TEST_CASE("fields after a chunked body are no headers")
+{
+    MessageParser parser(MessageParser::Kind::Request, { [](const MessageHead&) {}, [](std::string_view) {} }, headLimit);
+    std::size_t consumed = 0;
+    REQUIRE(parser.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nHost: x\r\nX-Own: 1\r\n\r\n", consumed) == ParseResult::Complete);
+    CHECK_FALSE(parser.head().headers.get("Host").has_value());
+    CHECK(parser.head().headers.count("Transfer-Encoding") == 1);
+}
+
 struct ResponseCase {
     const char* name;
     std::string bytes;
