EventSplitter: Read ids that a header can carry

The id of the last event goes into a header when a stream is resumed. An id with a carriage return or a zero byte in it ended the header line for some servers.

Change: a carriage return ends the line of the id, as it does in an event stream, and a line with a zero byte has no id. The bytes of events are passed on as before.

--- a/src/traffic/eventsplitter.cpp
+++ b/src/traffic/eventsplitter.cpp
@@ -23,7 +23,7 @@
 {
     while (!text.empty() && text.front() == ' ')
         text.remove_prefix(1);
-    while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
+    while (!text.empty() && text.back() == ' ')
         text.remove_suffix(1);
     return text;
 }
@@ -33,9 +33,10 @@
     constexpr std::string_view name = "id:";
     std::optional<std::string_view> id;
     while (!event.empty()) {
-        const auto end = event.find('\n');
+        const auto end = event.find_first_of("\r\n");
         const auto line = event.substr(0, end);
-        if (line.starts_with(name))
+        // An id with a zero byte is none.
+        if (line.starts_with(name) && line.find('\0') == std::string_view::npos)
             id = trimmed(line.substr(name.size()));
         if (end == std::string_view::npos)
             break;
--- a/tests/traffic/test_eventsplitter.cpp
+++ b/tests/traffic/test_eventsplitter.cpp
@@ -24,6 +24,8 @@
     { "an id after the data", "data: a\nid: 7\n\n", { "7" }, false },
     { "the end of the bytes in the middle of a line", "id: 1\ndata: a\n\nid: 2\nda", { "1" }, true },
     { "the end of the bytes before the empty line", "id: 1\ndata: a\n", {}, true },
+    { "a carriage return in the line of the id", "id: 1\rdata: a\n\n", { "1" }, false },
+    { "an id with a zero byte, which is none", std::string("id: 1\nid: 2\0\n\n", 14), { "1" }, false },
     { "a data line that contains an id field", "data: id: 9\n\n", { "-" }, false },
 };
 
