--- a/tests/platform/test_metadatastore.cpp
+++ b/tests/platform/test_metadatastore.cpp
@@ -1,6 +1,7 @@
 #include "errors.h"
 #include "httpclient.h"
 #include "metadatastore.h"
+#include "scriptedserver.h"
 #include "storestandin.h"
 
 #include <doctest/doctest.h>
@@ -95,6 +96,22 @@
     CHECK(fixture.list("own/").entries.size() == 10);
 }
 
+TEST_CASE("a listing whose pages do not advance fails")
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    MetadataStore store(client, storeAddress, timeout);
+    const std::string body = R"({"items":[{"key":"own/a","value":"dg==","revision":3}],"current-rev":3,"more-pages":true})";
+    const ScriptedServer server(loop, storeAddress, [&body](const std::string&) -> ScriptedAnswer {
+        return { "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+    });
+    std::optional<std::error_code> result;
+    store.list("own/", [&result](std::error_code error, const StoreListing&) { result = error; });
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    CHECK(*result == Error::BadAnswer);
+    CHECK(server.requests.size() == 2);
+}
+
 TEST_CASE("a write with a wrong expected revision changes nothing")
 {
     Fixture fixture;
