Forwarding: Put the sending to servers behind an interface

A run of a request could be driven with connections only. BackendSender is what it needs of the pool; the end at the deadline is public like the other events from outside, so that a test can bring them about in any order. No change of behaviour.

--- a/src/forwarding/backendpool.h
+++ b/src/forwarding/backendpool.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "backendconnection.h"
-#include "backendserver.h"
+#include "backendsender.h"
 
 #include <map>
 #include <memory>
@@ -10,32 +9,18 @@
 
 namespace Primrosefork {
 
-/**
- * A call to a backend server that is in progress.
- */
-class BackendCall {
-public:
-    virtual ~BackendCall() = default;
-
-    /** Ends the call and closes its connection, so that the server ends it too. No handler is called afterwards. */
-    virtual auto cancel() -> void = 0;
-    virtual auto pause() -> void = 0;
-    virtual auto resume() -> void = 0;
-};
-
 /**
  * The connections of this node to backend servers. Idle connections are reused,
  * the most recently used one first.
  */
-class BackendPool {
+class BackendPool : public BackendSender {
 public:
     BackendPool(EventLoop&, const HeaderCodec&, std::chrono::milliseconds connectTimeout);
-    ~BackendPool();
+    ~BackendPool() override;
     BackendPool(const BackendPool&) = delete;
     auto operator=(const BackendPool&) -> BackendPool& = delete;
 
-    /** Sends \a message to \a server. The handlers are called from the event loop, never within this call. */
-    auto send(const BackendServer& server, const BackendMessage& message, CallHandlers) -> std::shared_ptr<BackendCall>;
+    auto send(const BackendServer& server, const BackendMessage& message, CallHandlers) -> std::shared_ptr<BackendCall> override;
 
     /** Returns the number of open connections to the server \a id. */
     [[nodiscard]] auto connectionCount(const std::string& id) const -> std::size_t;
--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "backendpool.h"
+#include "backendsender.h"
 #include "forwardrequest.h"
 #include "promptmonitor.h"
 #include "routingpolicy.h"
@@ -44,7 +44,7 @@
 /** The components that all runs of a node share. */
 struct ForwardContext {
     EventLoop& loop;
-    BackendPool& pool;
+    BackendSender& sender;
     const HeaderCodec& dialect;
     ServerSelector& servers;
     RunMover& mover;
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -122,7 +122,7 @@
         if (*alive)
             this->attemptEnded(outcome);
     };
-    this->attempt->call = this->context.pool.send(server, this->makeMessage(server), std::move(handlers));
+    this->attempt->call = this->context.sender.send(server, this->makeMessage(server), std::move(handlers));
 }
 
 auto ForwardRun::makeMessage(const BackendServer& server) const -> BackendMessage
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -50,6 +50,9 @@
     /** Ends the run because the caller's connection ended for \a reason. */
     auto callerDisconnected(const std::string& reason) -> void;
 
+    /** Ends the run because its deadline has passed. */
+    auto deadlineReached() -> void;
+
     /** Moves the run to another engine if its engine shuts down in \a timeLeft and the run is expected to take longer. */
     auto serverLeaving(std::chrono::milliseconds timeLeft) -> void;
 
@@ -88,7 +91,6 @@
     auto forwardResponse(const ForwardAttempt&) -> void;
     auto refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void;
     auto fail(int status, const char* reason) -> void;
-    auto deadlineReached() -> void;
     auto reportStart(std::chrono::milliseconds ago) -> void;
     auto recordOutcome(int status, const char* reason, const std::string& connectionEnd = {}) const -> void;
     auto endAttempt(AttemptEnd) -> void;
