Forwarding: Counted a run that was moved among the runs of its request

Callers saw nothing; servers saw more runs than a route allows ("max attempts" 2: three). Order: the first attempt is lost, the second streams an event and its server leaves, it is moved, the engine that is to continue it refuses or can't be reached, and a third run begins from the last event.

Cause: an attempt that ended for its continuation was not counted, as the continuation was to be. When that was not run, neither counted. Only routes that may repeat are concerned; others never begin again after an event.

Ruled out: counting at the move's answer; the attempt may still end whole.

Change: the run counts when its continuation is sent, and a continuation that fails does not count again.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -107,6 +107,7 @@
     this->attempt.emplace();
     this->attempt->server = server;
     this->attempt->sent = now;
+    this->attempt->isContinuation = this->copy.has_value();
     this->context.policy.requestSent(this->routingRequest(), server, now);
     CallHandlers handlers;
     const auto alive = this->isAlive;
@@ -243,7 +244,7 @@
         return this->forwardResponse(current);
     }
     // The server ran the request and reported an error.
-    ++this->possibleRuns;
+    this->countRun(current);
     this->endAttempt(AttemptEnd::ServerError);
     this->excluded.insert(current.server.id);
     if (this->phase == Phase::Sent && this->details.isRepeatable() && this->retry(true))
@@ -299,7 +300,7 @@
     this->endAttempt(AttemptEnd::Failed);
     this->excluded.insert(current.server.id);
     if (mayHaveRun) {
-        ++this->possibleRuns;
+        this->countRun(current);
         this->reportStart(millisecondsSince(current.sent));
     }
     if ((!mayHaveRun || this->details.isRepeatable()) && this->retry(mayHaveRun))
@@ -367,6 +368,7 @@
     const auto now = EventLoop::now();
     if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now) || this->quarantineLeft())
         return false;
+    this->countRun(*this->attempt);
     this->endAttempt(AttemptEnd::Cancelled);
     const auto server = *this->destination;
     this->send(server);
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -24,6 +24,7 @@
     EventSplitter events;
     bool isEventStream = false;
     bool hasEvent = false;
+    bool isContinuation = false; ///< Whether the attempt continues the run of an earlier one from a copy.
     bool isTooLong = false; ///< Whether the response, or an event in it, is longer than the node buffers.
 };
 
@@ -82,6 +83,7 @@
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
     auto attemptFailed(const ForwardAttempt&, CallOutcome) -> void;
+    auto countRun(const ForwardAttempt& current) -> void { this->possibleRuns += current.isContinuation ? 0 : 1; }
     auto retry(bool usesBudget) -> bool;
     auto moveEnded(std::error_code, const MoveResult&) -> void;
     auto resumeFromCopy() -> bool;
@@ -114,7 +116,7 @@
     bool isMoving = false; ///< Whether a move was requested and its result is pending.
     bool hasEndedDuringMove = false; ///< Whether the attempt ended while its move was in progress.
     int attempts = 0;
-    int possibleRuns = 0; ///< Number of attempts in which a server may have run the request.
+    int possibleRuns = 0; ///< Number of attempts in which a server may have run the request; one run with its continuations counts once.
     bool hasReportedStart = false;
     std::shared_ptr<bool> isAlive;
 };
