--- /dev/null
+++ b/tests/fuzz/fleetsamples.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fleetmessage.h"
+
+#include <string>
+#include <vector>
+
+namespace Primrosefork::Testkit {
+
+/** Returns an encoded message of each kind that nodes exchange. */
+[[nodiscard]] inline auto makeFleetMessages() -> std::vector<std::string>
+{
+    using namespace std::chrono_literals;
+    std::vector<FleetMessage> messages(6);
+    auto& report = messages[0].report.emplace();
+    report.upTime = 90s;
+    report.zone = "north-a";
+    report.processorShare = 0.12;
+    report.workspaces = { { "salon", 12.5F, 70'000.25, { 1, 2, 3 } } };
+    report.windows = { { 353'445'120, { { "salon", 412 }, { "kiosk", 1 } } } };
+    report.services = { { "llm", 8'000, 30'000, 5, 1, 2 } };
+    report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 5, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms } } } }, { { 5, 1s }, { 6, std::nullopt } }, { { 9, 10min } } } };
+    auto& answer = messages[1].answer.emplace();
+    answer.shares = { { "salon", 0.25 } };
+    answer.otherShare = 0.5;
+    answer.streamEngines = { { "llm", 7 } };
+    answer.observers = { { "127.0.0.1", 7'600 } };
+    answer.prompts = { { "llm", { 5 }, { { 9, 599'999ms } } } };
+    messages[2].quotaRequest = { 4, "salon", 1'460 };
+    messages[3].quotaReply = { 4, QuotaVerdict::Refused, 250ms };
+    messages[4].relayRequest = { 5, { 901, 902, 903 }, { 1, 2, 3 } };
+    messages[5].relayReply = { 5, 901, 40ms, true, { { RelayTopic::Registry, { { "key", "value", 933, false } }, 940, true, 12ms, 3s } } };
+    std::vector<std::string> encoded;
+    for (auto& message : messages) {
+        message.sender = "edge-1";
+        message.session = 17;
+        message.sequence = 3;
+        encoded.push_back(encodeFleetMessage(message));
+    }
+    return encoded;
+}
+
+} // namespace Primrosefork::Testkit
