--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -17,7 +17,7 @@
 
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
-constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream; twice the largest request.
+constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream, and for one event of a stream; twice the largest request.
 constexpr std::chrono::milliseconds deadlineGrace = 100ms; ///< Time for a response that the server sends at the deadline to arrive.
 constexpr std::chrono::milliseconds minRemainingTime = 5ms; ///< Shortest time before the deadline at which a request is still sent.
 constexpr std::chrono::milliseconds defaultServerWait = 100ms; ///< Longest wait for a server if the route has no objective.
@@ -108,6 +108,7 @@
     this->attempt.emplace();
     this->attempt->server = server;
     this->attempt->sent = now;
+    this->attempt->isContinuation = this->copy.has_value();
     this->context.policy.requestSent(this->routingRequest(), server, now);
     CallHandlers handlers;
     const auto alive = this->isAlive;
@@ -123,7 +124,7 @@
         if (*alive)
             this->attemptEnded(outcome);
     };
-    this->attempt->call = this->context.pool.send(server, this->makeMessage(server), std::move(handlers));
+    this->attempt->call = this->context.sender.send(server, this->makeMessage(server), std::move(handlers));
 }
 
 auto ForwardRun::makeMessage(const BackendServer& server) const -> BackendMessage
@@ -176,17 +177,27 @@
 {
     auto& current = *this->attempt;
     if (!current.isEventStream) {
-        if (current.body.size() + bytes.size() <= maxBufferedResponse)
-            current.body += bytes;
+        if (current.body.size() + bytes.size() > maxBufferedResponse)
+            return this->responseTooLong();
+        current.body += bytes;
         return;
     }
     if (!current.reply.isSealed)
         return;
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
+    if (current.events.pendingBytes() > maxBufferedResponse)
+        return this->responseTooLong();
     if (this->exchange->isCongested())
         current.call->pause();
 }
 
+auto ForwardRun::responseTooLong() -> void
+{
+    this->attempt->isTooLong = true;
+    this->attempt->call->cancel();
+    this->attemptEnded(CallOutcome::Complete);
+}
+
 auto ForwardRun::eventReceived(const StreamEvent& event) -> void
 {
     auto& current = *this->attempt;
@@ -225,9 +236,9 @@
     current.call.reset();
     if (outcome == CallOutcome::Complete && current.isBrokenOff())
         outcome = CallOutcome::Truncated;
-    const auto hasResponse = outcome == CallOutcome::Complete && current.body.size() <= maxBufferedResponse;
-    if (hasResponse && current.reply.isNotRun)
+    if (outcome == CallOutcome::Complete && current.reply.isNotRun)
         return this->attemptRefused(current);
+    const auto hasResponse = outcome == CallOutcome::Complete && !current.isTooLong;
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
     const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding");
     if (hasResponse && isSuccess && isIntact)
@@ -244,7 +255,7 @@
         return this->forwardResponse(current);
     }
     // The server ran the request and reported an error.
-    ++this->possibleRuns;
+    this->countRun(current);
     this->endAttempt(AttemptEnd::ServerError);
     this->excluded.insert(current.server.id);
     if (this->phase == Phase::Sent && this->details.isRepeatable() && this->retry(true))
@@ -301,7 +312,7 @@
     this->endAttempt(AttemptEnd::Failed);
     this->excluded.insert(current.server.id);
     if (mayHaveRun) {
-        ++this->possibleRuns;
+        this->countRun(current);
         this->reportStart(millisecondsSince(current.sent));
     }
     if ((!mayHaveRun || this->details.isRepeatable()) && this->retry(mayHaveRun))
@@ -369,6 +380,7 @@
     const auto now = EventLoop::now();
     if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now) || this->quarantineLeft())
         return false;
+    this->countRun(*this->attempt);
     this->endAttempt(AttemptEnd::Cancelled);
     const auto server = *this->destination;
     this->send(server);
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -25,6 +25,8 @@
     bool isEventStream = false;
     bool endsWithConnection = false; ///< Whether the response has neither a length nor chunks.
     std::optional<EventLoop::TimePoint> firstEvent;
+    bool isContinuation = false; ///< Whether the attempt continues the run of an earlier one from a copy.
+    bool isTooLong = false; ///< Whether the response, or an event in it, is longer than the node buffers.
     bool isSettled = false; ///< Whether the answer has gone on for long enough to show that the prompt does not crash the server.
 
     /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
@@ -54,6 +56,9 @@
     /** Ends the run because the caller's connection ended for \a reason. */
     auto callerDisconnected(const std::string& reason) -> void;
 
+    /** Ends the run because its deadline has passed. */
+    auto deadlineReached() -> void;
+
     /** Moves the run to another engine if its engine shuts down in \a timeLeft and the run is expected to take longer. */
     auto serverLeaving(std::chrono::milliseconds timeLeft) -> void;
 
@@ -79,10 +84,12 @@
     auto bodyReceived(std::string_view) -> void;
     auto eventReceived(const StreamEvent&) -> void;
     auto settle() -> void;
+    auto responseTooLong() -> void;
     auto attemptEnded(CallOutcome) -> void;
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
     auto attemptFailed(const ForwardAttempt&, CallOutcome) -> void;
+    auto countRun(const ForwardAttempt& current) -> void { this->possibleRuns += current.isContinuation ? 0 : 1; }
     auto retry(bool usesBudget) -> bool;
     auto moveEnded(std::error_code, const MoveResult&) -> void;
     auto resumeFromCopy() -> bool;
@@ -92,7 +99,6 @@
     auto forwardResponse(const ForwardAttempt&) -> void;
     auto refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void;
     auto fail(int status, const char* reason) -> void;
-    auto deadlineReached() -> void;
     auto reportStart(std::chrono::milliseconds ago) -> void;
     auto recordOutcome(int status, const char* reason, const std::string& connectionEnd = {}) const -> void;
     auto endAttempt(AttemptEnd) -> void;
@@ -116,7 +122,7 @@
     bool isMoving = false; ///< Whether a move was requested and its result is pending.
     bool hasEndedDuringMove = false; ///< Whether the attempt ended while its move was in progress.
     int attempts = 0;
-    int possibleRuns = 0; ///< Number of attempts in which a server may have run the request.
+    int possibleRuns = 0; ///< Number of attempts in which a server may have run the request; one run with its continuations counts once.
     bool hasReportedStart = false;
     std::shared_ptr<bool> isAlive;
 };
