Http: Limited what a call reads of a response without end

What callers saw: a response that went on without end held its call until a timer ended it, and one with interim responses (100) without end was never ended, since each of them started the idle timer again. The library buffers a head, a chunk that is not complete and the size line of a chunk without a limit, so the memory of the node grew with what the other side sent. Calls to the store, to the fleet's service and to engines (moves) go this way.

Ruled out: the limit of the body; it counted complete chunks only.

Change: a call ends with Error::TooLarge when the head is larger than 64 KiB, when the announced or received body is above the limit of the call, or when head, interim responses and framing together cross a limit. An interim response neither starts the timer nor ends the call as its answer. Calls without a body limit have the limit for heads only.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t maxIdlePerServer = 64;
 constexpr int libraryTimeoutSeconds = 24 * 3600; ///< One day, so that the timers of each call expire first.
+constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< Size limit for the headers of a response.
+constexpr std::size_t otherBytesPerBodyByte = 8; ///< Limit for the framing of the body; the framing of a chunk of one byte takes five.
 
 auto commandOf(const std::string& method) -> evhttp_cmd_type
 {
@@ -62,8 +64,9 @@
     [[nodiscard]] auto hasSentBytes() const -> bool override { return this->sentBytes > 0; }
 
 private:
-    [[nodiscard]] auto isTooLarge() const -> bool { return this->options.maxResponseBytes > 0 && this->receivedBytes > this->options.maxResponseBytes; }
+    [[nodiscard]] auto isTooLarge() const -> bool;
     auto watchOutput() -> void;
+    auto watchInput() -> void;
     auto connected() -> void;
     auto headersReceived(evhttp_request*) -> void;
     auto piecesReceived(evhttp_request*) -> void;
@@ -81,12 +84,15 @@
     evhttp_connection* connection = nullptr;
     evhttp_request* handle = nullptr;
     evbuffer_cb_entry* outputCallback = nullptr;
+    evbuffer_cb_entry* inputCallback = nullptr;
     std::shared_ptr<HttpClientCall> self; ///< Keeps the call alive until it is done.
     std::size_t sentBytes = 0;
-    std::size_t receivedBytes = 0;
+    std::size_t receivedBytes = 0; ///< Number of bytes of the body.
+    std::size_t inputBytes = 0; ///< Number of bytes that the connection has received during the call.
     bool hasHeaders = false;
     bool isPaused = false;
     bool isFailing = false;
+    bool hasExceededLimit = false; ///< Whether the library ended the call because of a size limit.
     bool isDone = false;
 };
 
@@ -102,8 +108,9 @@
     });
     evhttp_request_set_chunked_cb(this->handle,
         [](evhttp_request* request, void* call) { static_cast<HttpClientCall*>(call)->piecesReceived(request); });
-    evhttp_request_set_error_cb(this->handle, [](evhttp_request_error, void* call) {
+    evhttp_request_set_error_cb(this->handle, [](evhttp_request_error error, void* call) {
         static_cast<HttpClientCall*>(call)->isFailing = true;
+        static_cast<HttpClientCall*>(call)->hasExceededLimit = error == EVREQ_HTTP_DATA_TOO_LONG;
     });
 
     auto* output = evhttp_request_get_output_headers(this->handle);
@@ -114,6 +121,7 @@
     evbuffer_add(evhttp_request_get_output_buffer(this->handle), message.body.data(), message.body.size());
 
     this->watchOutput();
+    this->watchInput();
     this->timer.start(std::min(this->options.connectTimeout, this->options.firstByteTimeout));
     if (evhttp_make_request(this->connection, this->handle, commandOf(message.method), message.target().c_str()) != 0) {
         this->handle = nullptr;
@@ -137,6 +145,31 @@
         this);
 }
 
+auto HttpClientCall::watchInput() -> void
+{
+    constexpr ev_ssize_t unlimited = -1;
+    const auto bodyLimit = this->options.maxResponseBytes;
+    evhttp_connection_set_max_headers_size(this->connection, static_cast<ev_ssize_t>(maxHeadBytes));
+    evhttp_connection_set_max_body_size(this->connection, bodyLimit > 0 ? static_cast<ev_ssize_t>(bodyLimit) : unlimited);
+    this->inputCallback = evbuffer_add_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)),
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            auto* call = static_cast<HttpClientCall*>(argument);
+            call->inputBytes += info->n_added;
+            if (info->n_added > 0 && !call->isDone && call->isTooLarge())
+                call->client.loop.post([failed = call->self] { failed->fail(Error::TooLarge); });
+        },
+        this);
+}
+
+auto HttpClientCall::isTooLarge() const -> bool
+{
+    const auto bodyLimit = this->options.maxResponseBytes;
+    // A chunk is part of the body only when it is complete.
+    const auto otherLimit = maxHeadBytes + bodyLimit + otherBytesPerBodyByte * this->receivedBytes;
+    return bodyLimit > 0 && (this->receivedBytes > bodyLimit || this->inputBytes > this->receivedBytes + otherLimit);
+}
+
 auto HttpClientCall::connected() -> void
 {
     this->timer.start(this->options.firstByteTimeout);
@@ -148,6 +181,11 @@
 {
     if (this->isDone)
         return;
+    if (evhttp_request_get_response_code(request) < HttpStatus::ok) {
+        // The library adds the headers of the next response to those of an interim response.
+        evhttp_clear_headers(evhttp_request_get_input_headers(request));
+        return;
+    }
     this->hasHeaders = true;
     this->timer.start(this->options.idleTimeout);
     if (this->handlers.onHeaders)
@@ -181,10 +219,11 @@
         this->release(false);
         return this->finish(Error::TooLarge);
     }
-    const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) != 0;
+    const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) >= HttpStatus::ok;
     if (!isWhole) {
         this->release(false);
-        return this->finish(this->hasSentBytes() ? Error::ConnectionLost : Error::ConnectionFailed);
+        const auto lost = this->hasExceededLimit ? Error::TooLarge : Error::ConnectionLost;
+        return this->finish(this->hasSentBytes() ? lost : Error::ConnectionFailed);
     }
     const auto* closing = evhttp_find_header(evhttp_request_get_input_headers(request), "Connection");
     this->release(!closing || strcasecmp(closing, "close") != 0);
@@ -250,6 +289,10 @@
         evbuffer_remove_cb_entry(output, this->outputCallback);
         this->outputCallback = nullptr;
     }
+    if (this->inputCallback) {
+        evbuffer_remove_cb_entry(bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)), this->inputCallback);
+        this->inputCallback = nullptr;
+    }
     auto* released = std::exchange(this->connection, nullptr);
     if (this->handle) {
         evhttp_request_set_chunked_cb(this->handle, nullptr);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -24,7 +24,7 @@
     std::chrono::milliseconds connectTimeout { 1'000 };
     std::chrono::milliseconds firstByteTimeout { 30'000 }; ///< Time from the first byte sent to the headers of the response.
     std::chrono::milliseconds idleTimeout { 30'000 }; ///< Time between two pieces of the response.
-    std::size_t maxResponseBytes = 4 * mebibyte; ///< Size limit for the response body, above which the call ends with Error::TooLarge; 0 means no limit.
+    std::size_t maxResponseBytes = 4 * mebibyte; ///< Size limit for the response body, above which the call ends with Error::TooLarge, as it does when head and framing are far larger; 0 means no limit.
     bool detectsDeadPeer = false; ///< Whether the call ends when the peer stops acknowledging, although the response itself may take long.
     bool usesFreshConnection = false; ///< Whether to open a new connection, for calls that must not be sent on one that the server is closing.
 };
--- a/tests/http/test_httpclient.cpp
+++ b/tests/http/test_httpclient.cpp
@@ -3,10 +3,14 @@
 #include "httpclient.h"
 #include "httpserver.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <doctest/doctest.h>
+#include <map>
 #include <memory>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -21,6 +25,7 @@
 struct Script {
     const char* answer; ///< Response sent on receipt of the request; may be empty.
     bool closes; ///< Whether the server then closes the connection.
+    std::string repeated = {}; ///< Bytes that follow again and again, until the client closes the connection.
 };
 
 /**
@@ -61,14 +66,38 @@
         }
         for (auto& connection : this->connections)
             this->serve(connection);
+        for (auto& connection : this->connections)
+            this->flood(connection);
         std::erase(this->connections, -1);
     }
 
     bool isListening = false;
     int acceptedCount = 0;
     int requestCount = 0;
+    int floodsClosed = 0; ///< Number of connections that the client closed while bytes went on.
+    std::size_t floodBytes = 0; ///< Number of the repeated bytes that the sockets have taken.
 
 private:
+    auto flood(int& connection) -> void
+    {
+        const auto found = this->floods.find(connection);
+        if (found == this->floods.end())
+            return;
+        for (;;) {
+            const auto size = send(connection, found->second.data(), found->second.size(), MSG_NOSIGNAL);
+            if (size < 0 && errno == EAGAIN)
+                return;
+            if (size < 0)
+                break;
+            this->floodBytes += static_cast<std::size_t>(size);
+            // The rest is sent first, so that the bytes stay in order.
+            std::rotate(found->second.begin(), found->second.begin() + size, found->second.end());
+        }
+        ++this->floodsClosed;
+        this->floods.erase(found);
+        close(std::exchange(connection, -1));
+    }
+
     auto serve(int& connection) -> void
     {
         std::array<char, 4096> buffer {};
@@ -79,6 +108,8 @@
         const auto& script = this->scripts[index];
         const std::string answer = script.answer;
         send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        if (!script.repeated.empty())
+            this->floods[connection] = script.repeated;
         if (script.closes)
             close(std::exchange(connection, -1));
     }
@@ -86,6 +117,7 @@
     std::vector<Script> scripts;
     int listener;
     std::vector<int> connections;
+    std::map<int, std::string> floods; ///< Bytes that are sent again and again, by connection.
 };
 
 const Address serverAddress { "127.3.2.1", 18'081 };
@@ -205,4 +237,68 @@
     CHECK_FALSE(outcome.isDone);
 }
 
+struct EndlessCase {
+    const char* name;
+    const char* begin; ///< First bytes of the response.
+    std::string repeated; ///< Bytes that follow without end.
+    Error error = Error::TooLarge; ///< How the call ends.
+};
+
+auto block(const std::string& text) -> std::string
+{
+    constexpr std::size_t size = 65'536;
+    std::string result;
+    while (result.size() < size)
+        result += text;
+    return result;
+}
+
+constexpr auto chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const EndlessCase endlessCases[] = {
+    { "bytes that are no HTTP", "", block("zz") },
+    { "one long status line", "HTTP/1.1 200 ", block("a") },
+    { "one long header name", "HTTP/1.1 200 OK\r\n", block("a") },
+    { "one long header", "HTTP/1.1 200 OK\r\nX-Long: ", block("a") },
+    { "many headers", "HTTP/1.1 200 OK\r\n", block("X-More: 1\r\n") },
+    { "empty lines", "", block("\r\n"), Error::ConnectionLost },
+    { "interim responses", "", block("HTTP/1.1 100 X\r\n\r\n") },
+    { "interim responses with headers", "", block("HTTP/1.1 100 X\r\nX-More: 1\r\n\r\n") },
+    { "a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", block("a") },
+    { "a body without a length", "HTTP/1.1 200 OK\r\n\r\n", block("a") },
+    { "small chunks", chunkedHead, block("1\r\na\r\n") },
+    { "one large chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n", block("a") },
+    { "a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0", block("0") },
+    { "a chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", block("a") },
+    { "empty lines in place of chunks", chunkedHead, block("\r\n") },
+    { "one trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ", block("a") },
+    { "many trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", block("X-More: 1\r\n") },
+};
+
+TEST_CASE("a response without end ends its call by its size limits")
+{
+    constexpr std::size_t socketBytes = 6 * mebibyte; // What the sockets on both sides may hold.
+    constexpr auto timeout = 3s; // Not reached, as the size limits end the calls.
+    for (const auto& row : endlessCases) {
+        CAPTURE(std::string(row.name));
+        Testkit::BlockingClient client;
+        ScriptedServer server(serverAddress, { { row.begin, false, row.repeated } });
+        REQUIRE(server.isListening);
+        auto options = shortCallOptions();
+        options.firstByteTimeout = timeout;
+        options.idleTimeout = timeout;
+        Outcome outcome;
+        const auto begin = EventLoop::now();
+        const auto call = client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, "body" }, options,
+            [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
+
+        CHECK(client.waitUntil([&] { server.poll(); return outcome.isDone; }, timeout + 1s));
+        CHECK(outcome.error == row.error);
+        CHECK(client.waitUntil([&] { server.poll(); return server.floodsClosed == 1; }, 2s));
+        CHECK(EventLoop::now() - begin < timeout);
+        CHECK(server.floodBytes < socketBytes);
+        CHECK(outcome.response.body.size() <= options.maxResponseBytes);
+    }
+}
+
 } // namespace
