Forwarding: Failed attempts whose response is above the size limit

What callers saw: of a response above 8 MiB that was not a stream, the pieces beyond the limit were dropped and the rest was passed on as a whole answer with status 200. The node also went on reading such a response until the deadline when it had no end.

Cause: bodyReceived() kept what fitted, and attemptEnded() compared the size of what had been kept, which is never above the limit.

Ruled out: the framing; with a length, in chunks and ended by the close all did it.

Change: the attempt fails as soon as the limit is crossed, its connection is closed and the request goes on as after any other lost attempt: repeated if its route allows it, else 502. Closing it ourselves is no loss at the server, so it is no evidence that a server crashed on the prompt. An event stream without its seal, which was dropped without a limit, has the same limit.

--- a/src/forwarding/backendconnection.h
+++ b/src/forwarding/backendconnection.h
@@ -30,6 +30,7 @@
     NotSent, ///< No byte of the request was sent.
     Lost, ///< The server may have run the request, but sent no valid response.
     Truncated, ///< The response ended before it was complete.
+    TooLarge, ///< The response, or what came in its place, exceeded a size limit.
 };
 
 /** Callbacks of one call. */
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -173,18 +173,23 @@
 auto ForwardRun::bodyReceived(std::string_view bytes) -> void
 {
     auto& current = *this->attempt;
-    if (!current.isEventStream) {
-        if (current.body.size() + bytes.size() <= maxBufferedResponse)
-            current.body += bytes;
+    if (!current.isEventStream || !current.reply.isSealed) {
+        if (current.body.size() + bytes.size() > maxBufferedResponse)
+            return this->responseTooLarge();
+        current.body += bytes;
         return;
     }
-    if (!current.reply.isSealed)
-        return;
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
     if (this->exchange->isCongested())
         current.call->pause();
 }
 
+auto ForwardRun::responseTooLarge() -> void
+{
+    this->attempt->call->cancel();
+    this->attemptEnded(CallOutcome::TooLarge);
+}
+
 auto ForwardRun::eventReceived(const StreamEvent& event) -> void
 {
     auto& current = *this->attempt;
@@ -214,7 +219,7 @@
 {
     auto& current = *this->attempt;
     current.call.reset();
-    const auto hasResponse = outcome == CallOutcome::Complete && current.body.size() <= maxBufferedResponse;
+    const auto hasResponse = outcome == CallOutcome::Complete;
     if (hasResponse && current.reply.isNotRun)
         return this->attemptRefused(current);
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
@@ -283,8 +288,9 @@
     const auto mayHaveRun = outcome != CallOutcome::NotSent;
     if (!current.hasEvent && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
         this->context.prompts.attemptLost(this->details.service->name, this->details.fields.promptParts, current.server.id, EventLoop::now());
+    const auto* execution = mayHaveRun ? "unknown" : "not sent";
     this->context.log.write(Event::AttemptFailed,
-        { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", mayHaveRun ? "unknown" : "not sent" },
+        { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", outcome == CallOutcome::TooLarge ? "too large" : execution },
             { "status", std::to_string(current.status) }, { "events", std::to_string(this->eventCount) } });
     this->endAttempt(AttemptEnd::Failed);
     this->excluded.insert(current.server.id);
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -73,6 +73,7 @@
     auto headReceived(const MessageHead&, const ReplyFields&) -> void;
     auto bodyReceived(std::string_view) -> void;
     auto eventReceived(const StreamEvent&) -> void;
+    auto responseTooLarge() -> void;
     auto attemptEnded(CallOutcome) -> void;
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
