Forwarding: Limited what is read of a response without end

What callers saw: a server that went on sending bytes that were no answer was read until the deadline of the request: interim answers, answers to other requests, chunks with long extensions, and an event without end, which was kept in memory as well. The caller got 504 after the whole timeout, although another server could have answered.

Causes: nothing counted the bytes that belong to no body; EventSplitter kept an event of any size, and searched all of it again with each piece.

Ruled out: heads, chunk sizes, one chunk extension, trailers, and bytes after a whole answer had their limits already, and the rows for these passed before. The deadline held for servers that send a few bytes now and then (rows of the last table).

Change: the bytes that one call reads beside the body of its response are limited to 8 MiB, and 8 bytes for each byte of the body; an event to 1 MiB. The attempt fails as one of these is crossed, and its connection is closed. A head above 64 KiB counts as too large too, rather than as a loss, which is evidence of a crash. EventSplitter searches new bytes only.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< Size limit for the headers of a response; far above what servers send.
+constexpr std::size_t maxOtherBytes = 8 * mebibyte; ///< Limit for interim responses, responses to other requests, heads and chunk framing; as much as the largest response.
+constexpr std::size_t otherBytesPerBodyByte = 8; ///< Added to the limit for each byte of the body; the framing of a chunk of one byte takes five.
 constexpr std::chrono::milliseconds defaultKeepAlive = 4s; ///< Assumed for servers that send no keep-alive timeout.
 constexpr std::chrono::milliseconds keepAliveMargin = 500ms; ///< Subtracted from the timeout: covers the transit time of the next request and the rounding to whole seconds.
 constexpr int firstFinalStatus = 200;
@@ -66,6 +68,8 @@
     this->isOwnResponse = false;
     this->isHeadRequest = message.method == "HEAD";
     this->sentBytes = 0;
+    this->receivedBytes = 0;
+    this->bodyBytes = 0;
     this->parser.reset(this->isHeadRequest);
 
     auto head = message.method + " " + message.target + " HTTP/1.1\r\n";
@@ -105,14 +109,25 @@
         std::size_t consumed = 0;
         const auto result = this->parser.feed(bytes, consumed);
         evbuffer_drain(input, consumed);
-        if (this->isClosed || result == ParseResult::NeedsMore)
+        this->receivedBytes += consumed;
+        if (this->isClosed)
             continue;
-        if (result != ParseResult::Complete)
+        if (result == ParseResult::HeadTooLarge)
+            return this->finish(CallOutcome::TooLarge, false);
+        if (result == ParseResult::Malformed)
             return this->finish(this->isOwnResponse ? CallOutcome::Truncated : CallOutcome::Lost, false);
-        this->messageReceived();
+        if (result == ParseResult::Complete)
+            this->messageReceived();
+        if (!this->isClosed && this->hasExcessBytes())
+            return this->finish(CallOutcome::TooLarge, false);
     }
 }
 
+auto BackendConnection::hasExcessBytes() const -> bool
+{
+    return this->isBusy && this->receivedBytes - this->bodyBytes > maxOtherBytes + otherBytesPerBodyByte * this->bodyBytes;
+}
+
 auto BackendConnection::headReceived(const MessageHead& head) -> void
 {
     this->isOwnResponse = false;
@@ -143,8 +158,11 @@
 
 auto BackendConnection::bodyReceived(std::string_view bytes) -> void
 {
+    if (!this->isOwnResponse)
+        return;
+    this->bodyBytes += bytes.size();
     const auto current = this->handlers;
-    if (this->isOwnResponse && current && current->onBody)
+    if (current && current->onBody)
         current->onBody(bytes);
 }
 
--- a/src/forwarding/backendconnection.h
+++ b/src/forwarding/backendconnection.h
@@ -44,6 +44,7 @@
  * A connection to a backend server, which handles one call at a time.
  *
  * A response that carries the id of another request is read to its end and discarded.
+ * The bytes that are read for one call beside the body of its response are limited.
  */
 class BackendConnection {
 public:
@@ -75,6 +76,7 @@
 private:
     auto readable() -> void;
     auto eventReceived(short events) -> void;
+    [[nodiscard]] auto hasExcessBytes() const -> bool;
     auto headReceived(const MessageHead&) -> void;
     auto bodyReceived(std::string_view) -> void;
     auto messageReceived() -> void;
@@ -92,6 +94,8 @@
     std::shared_ptr<CallHandlers> handlers; ///< Shared, so that a running handler survives when it ends the call.
     std::string requestId;
     std::size_t sentBytes = 0;
+    std::size_t receivedBytes = 0; ///< Number of bytes read during the current call.
+    std::size_t bodyBytes = 0; ///< Number of bytes of the body of the current call's response.
     EventLoop::TimePoint reuseDeadline;
     bool isConnected = false;
     bool isBusy = false;
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -18,6 +18,7 @@
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
 constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream; twice the largest request.
+constexpr std::size_t maxEventBytes = mebibyte; ///< Size limit for one event of a stream.
 constexpr std::chrono::milliseconds deadlineGrace = 100ms; ///< Time for a response that the server sends at the deadline to arrive.
 constexpr std::chrono::milliseconds minRemainingTime = 5ms; ///< Shortest time before the deadline at which a request is still sent.
 constexpr std::chrono::milliseconds defaultServerWait = 100ms; ///< Longest wait for a server if the route has no objective.
@@ -180,6 +181,8 @@
         return;
     }
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
+    if (current.events.pendingBytes() > maxEventBytes)
+        return this->responseTooLarge();
     if (this->exchange->isCongested())
         current.call->pause();
 }
--- a/src/traffic/eventsplitter.cpp
+++ b/src/traffic/eventsplitter.cpp
@@ -4,21 +4,6 @@
 
 namespace {
 
-/** Returns the offset after the first empty line of \a text, or npos if it has none. */
-auto endOfEvent(std::string_view text) -> std::size_t
-{
-    for (auto line = std::size_t { 0 }; line < text.size();) {
-        const auto end = text.find('\n', line);
-        if (end == std::string_view::npos)
-            return end;
-        const auto isEmpty = end == line || (end == line + 1 && text[line] == '\r');
-        if (isEmpty)
-            return end + 1;
-        line = end + 1;
-    }
-    return std::string_view::npos;
-}
-
 auto trimmed(std::string_view text) -> std::string_view
 {
     while (!text.empty() && text.front() == ' ')
@@ -48,14 +33,22 @@
 
 auto EventSplitter::add(std::string_view bytes, const Handler& handle) -> void
 {
+    // The buffered part of the last line has no line end, so only the new bytes are searched for one.
+    const auto searched = this->pending.size();
     this->pending.append(bytes);
-    std::string_view rest(this->pending);
-    for (auto end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
-        const auto text = rest.substr(0, end);
+    std::size_t begin = 0;
+    auto line = this->lineBegin;
+    for (auto end = this->pending.find('\n', searched); end != std::string::npos; end = this->pending.find('\n', line)) {
+        const auto isEmpty = end == line || (end == line + 1 && this->pending[line] == '\r');
+        line = end + 1;
+        if (!isEmpty)
+            continue;
+        const auto text = std::string_view(this->pending).substr(begin, line - begin);
         handle({ text, idOf(text) });
-        rest.remove_prefix(end);
+        begin = line;
     }
-    this->pending.erase(0, this->pending.size() - rest.size());
+    this->pending.erase(0, begin);
+    this->lineBegin = line - begin;
 }
 
 } // namespace Primrosefork
--- a/src/traffic/eventsplitter.h
+++ b/src/traffic/eventsplitter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -35,6 +35,7 @@
 
 private:
     std::string pending;
+    std::size_t lineBegin = 0; ///< Offset of the last, incomplete line in the buffered bytes.
 };
 
 } // namespace Primrosefork
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 namespace Primrosefork::Testkit {
 
@@ -57,6 +58,7 @@
     for (const auto& [stream, input] : this->inputs)
         bufferevent_free(stream);
     this->inputs.clear();
+    this->endless.clear();
 }
 
 auto ScriptedServer::sendToAll(const std::string& bytes) -> void
@@ -69,12 +71,17 @@
 {
     auto* stream = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     this->inputs[stream] = "";
+    evbuffer_add_cb(
+        bufferevent_get_output(stream),
+        [](evbuffer*, const evbuffer_cb_info* info, void* self) { static_cast<ScriptedServer*>(self)->sentBytes += info->n_deleted; }, this);
     bufferevent_setcb(
-        stream, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->readable(from); }, nullptr,
+        stream, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->readable(from); },
+        [](bufferevent* to, void* self) { static_cast<ScriptedServer*>(self)->written(to); },
         [](bufferevent* from, short, void* argument) {
             auto* self = static_cast<ScriptedServer*>(argument);
             ++self->closedByPeer;
             self->inputs.erase(from);
+            self->endless.erase(from);
             bufferevent_free(from);
         },
         this);
@@ -93,8 +100,16 @@
         input.erase(0, requestSize);
         const auto answer = this->script(this->requests.back());
         bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
+        if (!answer.repeated.empty()) {
+            this->endless[stream] = answer.repeated;
+            this->written(stream);
+        }
         if (!answer.closes)
             continue;
+        if (answer.resets) {
+            const linger reset { 1, 0 };
+            setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        }
         bufferevent_setcb(
             stream, nullptr,
             [](bufferevent* from, void* argument) {
@@ -110,4 +125,11 @@
     }
 }
 
+auto ScriptedServer::written(bufferevent* stream) -> void
+{
+    const auto found = this->endless.find(stream);
+    if (found != this->endless.end())
+        bufferevent_write(stream, found->second.data(), found->second.size());
+}
+
 } // namespace Primrosefork::Testkit
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -3,6 +3,7 @@
 #include "address.h"
 #include "eventloop.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -17,6 +18,8 @@
 struct ScriptedAnswer {
     std::string bytes; ///< Raw bytes of the answer, sent unchanged.
     bool closes = false; ///< Whether the server closes the connection after the answer.
+    bool resets = false; ///< Whether the connection is reset when the server closes it.
+    std::string repeated = {}; ///< Bytes that the server sends again and again after the answer, as fast as they are taken, until the connection is closed.
 };
 
 /**
@@ -44,14 +47,19 @@
     /** Number of connections that the other side closed. */
     int closedByPeer = 0;
 
+    /** Number of bytes that the sockets of all connections have taken. */
+    std::size_t sentBytes = 0;
+
 private:
     auto accepted(int socket) -> void;
     auto readable(bufferevent*) -> void;
+    auto written(bufferevent*) -> void;
 
     EventLoop& loop;
     Script script;
     evconnlistener* listener;
     std::map<bufferevent*, std::string> inputs; ///< Received bytes of incomplete requests, by connection.
+    std::map<bufferevent*, std::string> endless; ///< Bytes that are sent again and again, by connection.
 };
 
 /** Returns the value of the header \a name in \a message, or an empty text when it is missing. */
