Tests: Added the ends of answers without a length

An answer, a stream too, may come with neither a length nor chunks and end with its connection. What the node makes of that was tested in one row only.

The new tables play such streams and answers that are closed or reset, after an event, within one and before the empty line that ends it. A whole stream is passed on as one; the part of an event is not passed on, and the stream is resumed if its route allows it, or breaks off without its last chunk; a reset never ends a whole answer. The caller gets streams in chunks and other answers with a length, whatever the server sent.

--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -43,6 +43,14 @@
     return end == std::string::npos ? "" : answer.substr(end + 4);
 }
 
+auto countOf(const std::string& text, const std::string& part) -> int
+{
+    int count = 0;
+    for (auto place = text.find(part); place != std::string::npos; place = text.find(part, place + 1))
+        ++count;
+    return count;
+}
+
 /** Returns whether \a answer says itself that it is whole, by a length or by the last chunk. */
 auto isWhole(const std::string& answer) -> bool
 {
@@ -50,6 +58,103 @@
     return length.empty() ? answer.ends_with("\r\n0\r\n\r\n") : bodyOf(answer).size() == std::stoul(length);
 }
 
+/** The end of a connection. */
+enum class End {
+    Close,
+    Reset,
+};
+
+/** A stream that comes with neither a length nor chunks. */
+struct StreamEndCase {
+    const char* name;
+    const char* prefix;
+    const char* events; ///< What the first server sends after the head.
+    End end;
+    const char* status;
+    int received; ///< Number of events that the caller gets, 1 to \c received.
+    bool isWhole;
+    int requests; ///< Number of requests that the servers get.
+};
+
+constexpr auto twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+const StreamEndCase streamEndCases[] = {
+    { "closed after an event", "/stream/", twoEvents, End::Close, "HTTP/1.1 200", 2, true, 1 },
+    { "closed after an event, resumable", "/chat/", twoEvents, End::Close, "HTTP/1.1 200", 2, true, 1 },
+    { "closed within an event", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: hal", End::Close, "HTTP/1.1 200", 2, false, 1 },
+    { "closed within an event, resumable", "/chat/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: hal", End::Close, "HTTP/1.1 200", 3, true, 2 },
+    { "closed before the empty line of an event", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: hal\n", End::Close, "HTTP/1.1 200", 2, false, 1 },
+    { "closed before the empty line of an event, resumable", "/chat/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: hal\n", End::Close, "HTTP/1.1 200", 3, true, 2 },
+    { "closed within the first event", "/stream/", "id: 1\ndata: hal", End::Close, "HTTP/1.1 502", 0, true, 1 },
+    { "reset after an event", "/stream/", twoEvents, End::Reset, "HTTP/1.1 200", 2, false, 1 },
+    { "reset after an event, resumable", "/chat/", twoEvents, End::Reset, "HTTP/1.1 200", 3, true, 2 },
+    { "reset within an event", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: hal", End::Reset, "HTTP/1.1 200", 2, false, 1 },
+    { "reset within an event, resumable", "/chat/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: hal", End::Reset, "HTTP/1.1 200", 3, true, 2 },
+    { "reset before the first event", "/stream/", "", End::Reset, "HTTP/1.1 502", 0, true, 1 },
+};
+
+/** Sends the events after the last one that the caller has received, to a request that says so. */
+auto restOfStream(const std::string& request) -> ScriptedAnswer
+{
+    if (headerOf(request, "Last-Event-Id") != "2")
+        return { "HTTP/1.1 400 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+    return { ownHead(request) + "Content-Type: text/event-stream\r\n\r\nid: 3\ndata: c\n\n", true };
+}
+
+TEST_CASE("a stream without a length is whole only when its connection is closed after an event")
+{
+    for (const auto& row : streamEndCases) {
+        CAPTURE(std::string(row.name));
+        const auto first = [&row](const std::string& request) -> ScriptedAnswer {
+            return { ownHead(request) + "Content-Type: text/event-stream\r\n\r\n" + row.events, true, row.end == End::Reset };
+        };
+        EndFixture fixture("llm", first, restOfStream);
+        RawCaller caller(fixture.loop, fixture.settings.callers);
+        caller.send(GatewayFixture::makeRequest(row.prefix, "r1"));
+        CHECK(fixture.runUntil([&] { return caller.isClosed || isWhole(caller.received); }, 4s));
+        CHECK(caller.received.starts_with(row.status));
+        CHECK(isWhole(caller.received) == row.isWhole);
+        for (int id = 1; id <= 3; ++id)
+            CHECK(countOf(caller.received, "id: " + std::to_string(id) + "\n") == (id <= row.received ? 1 : 0));
+        CHECK(countOf(caller.received, "hal") == 0);
+        CHECK(fixture.requestCount == row.requests);
+    }
+}
+
+/** An answer without a length that is not a stream. */
+struct BodyEndCase {
+    const char* name;
+    const char* prefix;
+    const char* body;
+    End end;
+    const char* status;
+    const char* received; ///< Body that the caller gets.
+    int requests; ///< Number of requests that the servers get.
+};
+
+const BodyEndCase bodyEndCases[] = {
+    { "closed after its body", "/once/", "hello", End::Close, "HTTP/1.1 200", "hello", 1 },
+    { "closed after its body, repeatable", "/read/", "hello", End::Close, "HTTP/1.1 200", "hello", 1 },
+    { "closed without a body", "/once/", "", End::Close, "HTTP/1.1 200", "", 1 },
+    { "reset after its body", "/once/", "hello", End::Reset, "HTTP/1.1 502", "", 1 },
+    { "reset after its body, repeatable", "/read/", "hello", End::Reset, "HTTP/1.1 200", "again", 2 },
+    { "reset after its head", "/once/", "", End::Reset, "HTTP/1.1 502", "", 1 },
+};
+
+TEST_CASE("an answer without a length is whole only when its connection is closed")
+{
+    for (const auto& row : bodyEndCases) {
+        CAPTURE(std::string(row.name));
+        const auto first = [&row](const std::string& request) -> ScriptedAnswer { return { ownHead(request) + "\r\n" + row.body, true, row.end == End::Reset }; };
+        EndFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest(row.prefix, "r1"));
+        CHECK(answer.starts_with(row.status));
+        CHECK(isWhole(answer));
+        CHECK(bodyOf(answer) == row.received);
+        CHECK(fixture.requestCount == row.requests);
+    }
+}
+
 /** The framing of an answer that ends. */
 enum class Framing {
     Length,
