--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -17,7 +17,8 @@
 
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
-constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream, and for one event of a stream; twice the largest request.
+constexpr std::size_t maxBufferedResponse = 8 * mebibyte; ///< Size limit for a response that is not a stream; twice the largest request.
+constexpr std::size_t maxEventBytes = mebibyte; ///< Size limit for one event of a stream.
 constexpr std::chrono::milliseconds deadlineGrace = 100ms; ///< Time for a response that the server sends at the deadline to arrive.
 constexpr std::chrono::milliseconds minRemainingTime = 5ms; ///< Shortest time before the deadline at which a request is still sent.
 constexpr std::chrono::milliseconds defaultServerWait = 100ms; ///< Longest wait for a server if the route has no objective.
@@ -176,26 +177,23 @@
 auto ForwardRun::bodyReceived(std::string_view bytes) -> void
 {
     auto& current = *this->attempt;
-    if (!current.isEventStream) {
+    if (!current.isEventStream || !current.reply.isSealed) {
         if (current.body.size() + bytes.size() > maxBufferedResponse)
-            return this->responseTooLong();
+            return this->responseTooLarge();
         current.body += bytes;
         return;
     }
-    if (!current.reply.isSealed)
-        return;
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
-    if (current.events.pendingBytes() > maxBufferedResponse)
-        return this->responseTooLong();
+    if (current.events.pendingBytes() > maxEventBytes)
+        return this->responseTooLarge();
     if (this->exchange->isCongested())
         current.call->pause();
 }
 
-auto ForwardRun::responseTooLong() -> void
+auto ForwardRun::responseTooLarge() -> void
 {
-    this->attempt->isTooLong = true;
     this->attempt->call->cancel();
-    this->attemptEnded(CallOutcome::Complete);
+    this->attemptEnded(CallOutcome::TooLarge);
 }
 
 auto ForwardRun::eventReceived(const StreamEvent& event) -> void
@@ -236,9 +234,10 @@
     current.call.reset();
     if (outcome == CallOutcome::Complete && current.isBrokenOff())
         outcome = CallOutcome::Truncated;
-    if (outcome == CallOutcome::Complete && current.reply.isNotRun)
+    // The head of a response states whether the request was run, however long the rest is.
+    if ((outcome == CallOutcome::Complete || outcome == CallOutcome::TooLarge) && current.reply.isNotRun)
         return this->attemptRefused(current);
-    const auto hasResponse = outcome == CallOutcome::Complete && !current.isTooLong;
+    const auto hasResponse = outcome == CallOutcome::Complete;
     const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
     const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding");
     if (hasResponse && isSuccess && isIntact)
@@ -306,8 +305,9 @@
     // A move that failed may have stopped the run at its engine.
     if (!current.isSettled && !this->destination && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
         this->context.prompts.attemptLost(this->details.service->name, this->details.fields.promptParts, current.server.id, EventLoop::now());
+    const auto* execution = mayHaveRun ? "unknown" : "not sent";
     this->context.log.write(Event::AttemptFailed,
-        { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", mayHaveRun ? "unknown" : "not sent" },
+        { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", outcome == CallOutcome::TooLarge ? "too large" : execution },
             { "status", std::to_string(current.status) }, { "events", std::to_string(this->eventCount) } });
     this->endAttempt(AttemptEnd::Failed);
     this->excluded.insert(current.server.id);
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -26,7 +26,6 @@
     bool endsWithConnection = false; ///< Whether the response has neither a length nor chunks.
     std::optional<EventLoop::TimePoint> firstEvent;
     bool isContinuation = false; ///< Whether the attempt continues the run of an earlier one from a copy.
-    bool isTooLong = false; ///< Whether the response, or an event in it, is longer than the node buffers.
     bool isSettled = false; ///< Whether the answer has gone on for long enough to show that the prompt does not crash the server.
 
     /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
@@ -84,7 +83,7 @@
     auto bodyReceived(std::string_view) -> void;
     auto eventReceived(const StreamEvent&) -> void;
     auto settle() -> void;
-    auto responseTooLong() -> void;
+    auto responseTooLarge() -> void;
     auto attemptEnded(CallOutcome) -> void;
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
