--- a/src/testkit/cluster.cpp
+++ b/src/testkit/cluster.cpp
@@ -1,11 +1,10 @@
 #include "cluster.h"
 
 #include "hash.h"
+#include "scratch.h"
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
-#include <unistd.h>
 
 using namespace std::chrono_literals;
 
@@ -23,28 +22,6 @@
 constexpr std::uint16_t firstPlainPort = 9'100;
 constexpr auto readyLimit = 20s;
 
-/** Returns the first three bytes of loopback addresses, derived from the process id so that tests can run in parallel. */
-auto uniqueNetwork() -> std::string
-{
-    constexpr int firstSecondByte = 10;
-    constexpr int secondByteCount = 200;
-    constexpr int thirdByteCount = 250;
-    const auto pid = getpid();
-    return "127." + std::to_string(firstSecondByte + pid / thirdByteCount % secondByteCount) + "." + std::to_string(1 + pid % thirdByteCount) + ".";
-}
-
-auto makeTemporaryFolder() -> std::string
-{
-    auto pattern = (std::filesystem::temp_directory_path() / "primrosefork-XXXXXX").string();
-    return mkdtemp(pattern.data()) ? pattern : "";
-}
-
-auto writeJson(const std::string& path, const Json& json) -> void
-{
-    std::ofstream file(path);
-    file << json.dump(2) << "\n";
-}
-
 } // namespace
 
 Cluster::Cluster(const ClusterOptions& options)
--- a/src/testkit/process.cpp
+++ b/src/testkit/process.cpp
@@ -35,6 +35,7 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = -1;
     if (posix_spawn(&pid, program.c_str(), &actions, nullptr, pointers.data(), environ) != 0)
         pid = -1;
@@ -50,6 +51,15 @@
     return text.str();
 }
 
+auto entryCount(const std::string& folder) -> std::size_t
+{
+    std::error_code error;
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator entry(folder, error); !error && entry != std::filesystem::directory_iterator(); entry.increment(error))
+        ++count;
+    return count;
+}
+
 } // namespace
 
 Process::Process(const std::string& program, const std::vector<std::string>& arguments, std::string log)
@@ -126,6 +136,16 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+auto Process::descriptorCount() const -> std::size_t
+{
+    return entryCount("/proc/" + std::to_string(this->processId) + "/fd");
+}
+
+auto Process::threadCount() const -> std::size_t
+{
+    return entryCount("/proc/" + std::to_string(this->processId) + "/task");
+}
+
 auto runProgram(const std::string& program, const std::vector<std::string>& arguments, std::chrono::milliseconds limit) -> ProgramResult
 {
     static std::atomic<int> count { 0 };
--- a/src/testkit/process.h
+++ b/src/testkit/process.h
@@ -36,6 +36,12 @@
     /** Returns the resident memory of the process in bytes. */
     [[nodiscard]] auto residentBytes() const -> std::size_t;
 
+    /** Returns the number of open descriptors of the process. */
+    [[nodiscard]] auto descriptorCount() const -> std::size_t;
+
+    /** Returns the number of threads of the process. */
+    [[nodiscard]] auto threadCount() const -> std::size_t;
+
 private:
     auto reap(int options) -> void;
 
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -48,33 +48,32 @@
 ScriptedServer::~ScriptedServer()
 {
     evconnlistener_free(this->listener);
-    for (const auto& [stream, input] : this->inputs)
-        bufferevent_free(stream);
+    this->closeAll();
 }
 
 auto ScriptedServer::closeAll() -> void
 {
-    for (const auto& [stream, input] : this->inputs)
+    for (const auto& [stream, connection] : this->connections)
         bufferevent_free(stream);
-    this->inputs.clear();
+    this->connections.clear();
 }
 
 auto ScriptedServer::sendToAll(const std::string& bytes) -> void
 {
-    for (const auto& [stream, input] : this->inputs)
+    for (const auto& [stream, connection] : this->connections)
         bufferevent_write(stream, bytes.data(), bytes.size());
 }
 
 auto ScriptedServer::accepted(int socket) -> void
 {
     auto* stream = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-    this->inputs[stream] = "";
+    this->connections[stream];
     bufferevent_setcb(
         stream, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->readable(from); }, nullptr,
         [](bufferevent* from, short, void* argument) {
             auto* self = static_cast<ScriptedServer*>(argument);
             ++self->closedByPeer;
-            self->inputs.erase(from);
+            self->connections.erase(from);
             bufferevent_free(from);
         },
         this);
@@ -84,30 +83,55 @@
 auto ScriptedServer::readable(bufferevent* stream) -> void
 {
     auto* buffer = bufferevent_get_input(stream);
-    auto& input = this->inputs[stream];
+    auto& input = this->connections[stream].input;
     const auto size = evbuffer_get_length(buffer);
     input.append(reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1)), size);
     evbuffer_drain(buffer, size);
     for (auto requestSize = completeRequestSize(input); requestSize > 0; requestSize = completeRequestSize(input)) {
         this->requests.push_back(input.substr(0, requestSize));
         input.erase(0, requestSize);
-        const auto answer = this->script(this->requests.back());
-        bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
-        if (!answer.closes)
-            continue;
-        bufferevent_setcb(
-            stream, nullptr,
-            [](bufferevent* from, void* argument) {
-                static_cast<ScriptedServer*>(argument)->inputs.erase(from);
-                bufferevent_free(from);
-            },
-            nullptr, this);
-        if (answer.bytes.empty()) {
-            this->inputs.erase(stream);
-            bufferevent_free(stream);
-        }
-        return;
+        const auto scripted = this->script(this->requests.back());
+        this->answer(stream, scripted);
+        if (scripted.closes)
+            return;
     }
 }
 
+auto ScriptedServer::answer(bufferevent* stream, const ScriptedAnswer& answer) -> void
+{
+    bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
+    if (answer.closes)
+        return answer.bytes.empty() ? this->close(stream) : this->closeAfterOutput(stream);
+    auto& connection = this->connections[stream];
+    const auto isWaiting = !connection.later.empty();
+    connection.later.insert(connection.later.end(), answer.later.begin(), answer.later.end());
+    if (isWaiting || connection.later.empty())
+        return;
+    if (!connection.timer)
+        connection.timer = std::make_unique<Timer>(this->loop, [this, stream] { this->sendLater(stream); });
+    connection.timer->start(connection.later.front().delay);
+}
+
+auto ScriptedServer::sendLater(bufferevent* stream) -> void
+{
+    auto& connection = this->connections[stream];
+    const auto next = std::move(connection.later.front());
+    connection.later.pop_front();
+    bufferevent_write(stream, next.bytes.data(), next.bytes.size());
+    if (!connection.later.empty())
+        connection.timer->start(connection.later.front().delay);
+}
+
+auto ScriptedServer::closeAfterOutput(bufferevent* stream) -> void
+{
+    bufferevent_setcb(
+        stream, nullptr, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->close(from); }, nullptr, this);
+}
+
+auto ScriptedServer::close(bufferevent* stream) -> void
+{
+    if (this->connections.erase(stream) > 0)
+        bufferevent_free(stream);
+}
+
 } // namespace Primrosefork::Testkit
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -3,8 +3,11 @@
 #include "address.h"
 #include "eventloop.h"
 
+#include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -13,10 +16,17 @@
 
 namespace Primrosefork::Testkit {
 
+/** Bytes that a scripted server sends some time after a request. */
+struct LaterBytes {
+    std::chrono::milliseconds delay { 0 }; ///< Time since the piece before it, or since the request.
+    std::string bytes;
+};
+
 /** What a scripted server does after a request. */
 struct ScriptedAnswer {
     std::string bytes; ///< Raw bytes of the answer, sent unchanged.
     bool closes = false; ///< Whether the server closes the connection after the answer.
+    std::vector<LaterBytes> later = {}; ///< Sent after the answer, one after the other, while the connection is open.
 };
 
 /**
@@ -45,13 +55,23 @@
     int closedByPeer = 0;
 
 private:
+    struct Connection {
+        std::string input; ///< Received bytes of incomplete requests.
+        std::deque<LaterBytes> later;
+        std::unique_ptr<Timer> timer;
+    };
+
     auto accepted(int socket) -> void;
     auto readable(bufferevent*) -> void;
+    auto answer(bufferevent*, const ScriptedAnswer&) -> void;
+    auto sendLater(bufferevent*) -> void;
+    auto closeAfterOutput(bufferevent*) -> void;
+    auto close(bufferevent*) -> void;
 
     EventLoop& loop;
     Script script;
     evconnlistener* listener;
-    std::map<bufferevent*, std::string> inputs; ///< Received bytes of incomplete requests, by connection.
+    std::map<bufferevent*, Connection> connections;
 };
 
 /** Returns the value of the header \a name in \a message, or an empty text when it is missing. */
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -11,6 +11,8 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::milliseconds watchCheckPeriod { 50 };
+constexpr std::string_view keepPath = "/kv-keep/";
+constexpr std::chrono::milliseconds leaseTime { 3'000 };
 
 auto encode(const std::string& value) -> std::string
 {
@@ -44,7 +46,7 @@
         this->fleetCalls.push_back({ request.path, request.headers.get("X-Duty-Holder").value_or(""), request.headers.get("X-Fence-Token").value_or(""), request.body });
         answer(*exchange, HttpStatus::ok, Json::object());
     })
-    , watchTimer(loop, [this] { this->answerWatches(); })
+    , watchTimer(loop, [this] { this->tick(); })
 {
     this->watchTimer.startRepeating(watchCheckPeriod);
     static_cast<void>(this->store.listen(storeAddress));
@@ -119,6 +121,57 @@
 }
 
 auto StoreStandIn::handle(const std::shared_ptr<HttpExchange>& exchange, const Address& entrance) -> void
+{
+    if (this->answerDelay.count() > 0)
+        return this->delayedCalls.push_back({ EventLoop::now() + this->answerDelay, exchange, entrance });
+    this->handleNow(exchange, entrance);
+}
+
+auto StoreStandIn::tick() -> void
+{
+    const auto now = EventLoop::now();
+    while (!this->delayedCalls.empty() && this->delayedCalls.front().due <= now) {
+        const auto call = this->delayedCalls.front();
+        this->delayedCalls.pop_front();
+        this->handleNow(call.exchange, call.entrance);
+    }
+    for (auto lease = this->leaseEnds.begin(); this->leasesExpire && lease != this->leaseEnds.end();) {
+        if (lease->second > now) {
+            ++lease;
+            continue;
+        }
+        for (const auto& [key, item] : std::map(this->items)) {
+            if (item.lease == lease->first && !item.isDeleted)
+                this->write(key, "", 0, true);
+        }
+        lease = this->leaseEnds.erase(lease);
+    }
+    this->answerWatches();
+}
+
+auto StoreStandIn::abortWatches() -> void
+{
+    for (const auto& watch : std::exchange(this->watches, {}))
+        watch.exchange->abort();
+}
+
+auto StoreStandIn::grantLease(HttpExchange& exchange) -> void
+{
+    const auto lease = this->nextLease++;
+    this->leaseEnds[lease] = EventLoop::now() + leaseTime;
+    answer(exchange, HttpStatus::ok, { { "lease", lease }, { "ttl-ms", leaseTime.count() } });
+}
+
+auto StoreStandIn::keepLease(HttpExchange& exchange, std::uint64_t lease) -> void
+{
+    const auto found = this->leaseEnds.find(lease);
+    if (this->leasesExpire && found == this->leaseEnds.end())
+        return answer(exchange, HttpStatus::notFound, Json::object());
+    this->leaseEnds[lease] = EventLoop::now() + leaseTime;
+    answer(exchange, HttpStatus::ok, { { "ttl-ms", leaseTime.count() } });
+}
+
+auto StoreStandIn::handleNow(const std::shared_ptr<HttpExchange>& exchange, const Address& entrance) -> void
 {
     const auto& request = exchange->request();
     ++this->calls;
@@ -129,9 +182,9 @@
     if (request.path == "/kv-txn")
         return this->transact(exchange);
     if (request.path == "/kv-lease")
-        return answer(*exchange, HttpStatus::ok, { { "lease", this->nextLease++ }, { "ttl-ms", 3000 } });
-    if (request.path.starts_with("/kv-keep/"))
-        return answer(*exchange, HttpStatus::ok, { { "ttl-ms", 3000 } });
+        return this->grantLease(*exchange);
+    if (request.path.starts_with(keepPath))
+        return this->keepLease(*exchange, std::strtoull(request.path.c_str() + keepPath.size(), nullptr, 10));
     if (request.path == "/kv-key") {
         ++this->keyReads;
         const auto found = this->items.find(request.queryValue("key").value_or(""));
@@ -182,6 +235,11 @@
             list.push_back({ { "key", key }, { "value", found->second.value }, { "revision", found->second.revision } });
         return answer(*exchange, 412, { { "items", list }, { "current-rev", this->revision } });
     }
+    for (const auto& put : body["puts"]) {
+        const auto lease = put.value("lease", std::uint64_t { 0 });
+        if (this->leasesExpire && lease != 0 && !this->leaseEnds.contains(lease))
+            return answer(*exchange, HttpStatus::notFound, Json::object());
+    }
     for (const auto& put : body["puts"])
         this->write(put["key"].get<std::string>(), put["value"].get<std::string>(), put.value("lease", std::uint64_t { 0 }), false);
     if (this->dropsWriteAnswers)
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -3,7 +3,9 @@
 #include "eventloop.h"
 #include "httpserver.h"
 
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -61,6 +63,15 @@
     /** Whether the store carries out transactions but closes the connection instead of answering. */
     bool dropsWriteAnswers = false;
 
+    /** Time that the store takes for each answer. */
+    std::chrono::milliseconds answerDelay { 0 };
+
+    /** Whether keys are deleted when their lease was not renewed in time. */
+    bool leasesExpire = false;
+
+    /** Ends all watches that wait now, without an answer. */
+    auto abortWatches() -> void;
+
     /** Discards the history of changes, so that a watch from an earlier revision gets status 410. */
     auto dropHistory() -> void { this->oldestRevision = this->revision; }
 
@@ -105,8 +116,19 @@
         int calls = 0;
     };
 
+    /** A call that is handled after the delay of the store. */
+    struct DelayedCall {
+        EventLoop::TimePoint due;
+        std::shared_ptr<HttpExchange> exchange;
+        Address entrance;
+    };
+
+    auto tick() -> void;
+    auto grantLease(HttpExchange&) -> void;
+    auto keepLease(HttpExchange&, std::uint64_t lease) -> void;
     auto handleAt(const Address& entrance, const std::shared_ptr<HttpExchange>&) -> void;
     auto handle(const std::shared_ptr<HttpExchange>&, const Address& entrance = {}) -> void;
+    auto handleNow(const std::shared_ptr<HttpExchange>&, const Address& entrance) -> void;
     auto range(HttpExchange&) -> void;
     auto transact(const std::shared_ptr<HttpExchange>&) -> void;
     auto write(const std::string& key, const std::string& encoded, std::uint64_t lease, bool isDeleted) -> void;
@@ -124,6 +146,8 @@
     std::uint64_t revision = 1;
     std::uint64_t oldestRevision = 0; ///< Watches from earlier revisions get status 410.
     std::uint64_t nextLease = 1;
+    std::map<std::uint64_t, EventLoop::TimePoint> leaseEnds; ///< When each lease expires.
+    std::deque<DelayedCall> delayedCalls;
 };
 
 } // namespace Primrosefork::Testkit
