--- a/src/cli/gatewaycommands.cpp
+++ b/src/cli/gatewaycommands.cpp
@@ -55,6 +55,7 @@
 {
     if (!isJson) {
         std::vector<std::vector<std::string>> cells;
+        cells.reserve(rows.size());
         for (const auto& row : rows)
             cells.push_back({ row.address, row.node, row.digest, row.inForce, row.version, row.remark });
         return printTable({ "ADDRESS", "ID", "SETTINGS", "IN FORCE MS", "CONFIGURATION", "REMARK" }, cells);
