Http: Handled requests that had arrived before a read timeout of the node's interface

Callers would see: a request that reaches the node's own interface while the loop is busy past the read timeout is cut off without an answer, on a new connection, on a kept one and in the middle of a head or a body.

Cause: the connections had libevent's read timeout. It takes an expired event off the queue although its socket is readable, so that the timeout comes instead of the read.

Ruled out: a longer timeout, which only moves the length of the turn at which it happens.

Change: the wait for input is ended by a timer of ours for each connection, which runs after the input that had arrived and starts again when there is unread input; its expiry takes the same way through libevent's server as before. The write timeout stays with the bufferevent. A connection that ends before its first request keeps its bufferevent, without the socket, up to the read timeout, since libevent tells nobody.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "httpserver.h"
 
 #include "eventloop.h"
+#include "inputtimeout.h"
 #include "units.h"
 
 #include <arpa/inet.h>
@@ -112,7 +113,7 @@
 }
 
 /** Detects that the client closes \a connection while a response is in progress, without parsing a next request. */
-auto watchForClose(bufferevent* connection, const HttpServerOptions& options) -> void
+auto watchForClose(bufferevent* connection) -> void
 {
     bufferevent_data_cb readCallback = nullptr;
     bufferevent_data_cb writeCallback = nullptr;
@@ -121,21 +122,9 @@
     bufferevent_getcb(connection, &readCallback, &writeCallback, &eventCallback, &argument);
     bufferevent_setcb(connection, nullptr, writeCallback, eventCallback, argument);
     bufferevent_setwatermark(connection, EV_READ, 0, maxReadAheadBytes);
-    const auto writeTimeout = toTimeval(options.writeTimeout);
-    bufferevent_set_timeouts(connection, nullptr, &writeTimeout);
     bufferevent_enable(connection, EV_READ);
 }
 
-auto resetForNextRequest(evhttp_connection* connection, const HttpServerOptions& options) -> void
-{
-    auto* events = evhttp_connection_get_bufferevent(connection);
-    const auto readTimeout = toTimeval(options.readTimeout);
-    const auto writeTimeout = toTimeval(options.writeTimeout);
-    bufferevent_set_timeouts(events, &readTimeout, &writeTimeout);
-    bufferevent_setwatermark(events, EV_READ, 0, 0);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-}
-
 } // namespace
 
 HttpExchange::HttpExchange(evhttp_request* handle, HttpRequest received, HttpServer& server)
@@ -155,7 +144,7 @@
 auto HttpExchange::watchConnection() -> void
 {
     auto* connection = evhttp_request_get_connection(this->handle);
-    watchForClose(evhttp_connection_get_bufferevent(connection), this->server.options);
+    watchForClose(evhttp_connection_get_bufferevent(connection));
     evhttp_connection_set_closecb(
         connection, [](evhttp_connection* closed, void* self) { static_cast<HttpExchange*>(self)->connectionClosed(closed); }, this);
     evhttp_request_set_on_complete_cb(
@@ -163,7 +152,7 @@
         [](evhttp_request* request, void* argument) {
             auto* owner = static_cast<HttpServer*>(argument);
             auto* finished = evhttp_request_get_connection(request);
-            resetForNextRequest(finished, owner->options);
+            owner->awaitNextRequest(finished);
             owner->requestEnded(finished);
         },
         &this->server);
@@ -236,7 +225,7 @@
     if (!this->hasClientClosed) {
         evhttp_connection_set_closecb(
             evhttp_request_get_connection(this->handle),
-            [](evhttp_connection* closed, void* owner) { static_cast<HttpServer*>(owner)->requestEnded(closed); }, &this->server);
+            [](evhttp_connection* closed, void* owner) { static_cast<HttpServer*>(owner)->connectionClosed(closed); }, &this->server);
     }
     return std::exchange(this->handle, nullptr);
 }
@@ -245,7 +234,7 @@
 {
     const auto self = this->weak_from_this().lock();
     this->hasClientClosed = true;
-    this->server.requestEnded(connection);
+    this->server.connectionClosed(connection);
     this->closed.emit();
 }
 
@@ -268,8 +257,8 @@
     evhttp_set_max_body_size(this->server, static_cast<ev_ssize_t>(options.bodyBytes));
     evhttp_set_allowed_methods(this->server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
     evhttp_set_default_content_type(this->server, "application/json");
-    const auto readTimeout = toTimeval(options.readTimeout);
-    evhttp_set_timeout_tv(this->server, &readTimeout);
+    evhttp_set_bevcb(
+        this->server, [](event_base*, void* self) { return static_cast<HttpServer*>(self)->createStream(); }, this);
     evhttp_set_gencb(
         this->server, [](evhttp_request* request, void* self) { static_cast<HttpServer*>(self)->handle(request); }, this);
 }
@@ -312,10 +301,36 @@
     if (isAmbiguous)
         return exchange->respond({ HttpStatus::badRequest, {}, R"({"error":"ambiguous_length"})" });
     this->open.insert(evhttp_request_get_connection(request));
+    this->inputTimeouts.at(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)))->stop();
     exchange->watchConnection();
     this->handler(exchange);
 }
 
+auto HttpServer::createStream() -> bufferevent*
+{
+    auto* stream = bufferevent_socket_new(this->loop.base(), -1, 0);
+    if (!stream)
+        return nullptr;
+    const auto writeTimeout = toTimeval(this->options.writeTimeout);
+    bufferevent_set_timeouts(stream, nullptr, &writeTimeout);
+    this->inputTimeouts[stream] = std::make_unique<InputTimeout>(
+        this->loop, stream, this->options.readTimeout, [this, stream] { this->inputTimeouts.erase(stream); });
+    return stream;
+}
+
+auto HttpServer::awaitNextRequest(evhttp_connection* connection) -> void
+{
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    bufferevent_setwatermark(stream, EV_READ, 0, 0);
+    this->inputTimeouts.at(stream)->start();
+}
+
+auto HttpServer::connectionClosed(evhttp_connection* connection) -> void
+{
+    this->inputTimeouts.erase(evhttp_connection_get_bufferevent(connection));
+    this->requestEnded(connection);
+}
+
 auto HttpServer::requestEnded(evhttp_connection* connection) -> void
 {
     if (this->open.erase(connection) > 0 && this->open.empty())
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <sigc++/signal.h>
@@ -14,6 +15,7 @@
 #include <string_view>
 #include <system_error>
 
+struct bufferevent;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -23,6 +25,7 @@
 
 class EventLoop;
 class HttpServer;
+class InputTimeout;
 
 /** Limits that a server enforces on its clients. */
 struct HttpServerOptions {
@@ -124,6 +127,9 @@
     friend class HttpExchange;
 
     auto handle(evhttp_request*) -> void;
+    auto createStream() -> bufferevent*;
+    auto awaitNextRequest(evhttp_connection*) -> void;
+    auto connectionClosed(evhttp_connection*) -> void;
     auto requestEnded(evhttp_connection*) -> void;
 
     EventLoop& loop;
@@ -132,6 +138,7 @@
     evhttp* server;
     evhttp_bound_socket* socket = nullptr;
     std::set<evhttp_connection*> open; ///< Connections with a request in progress.
+    std::map<bufferevent*, std::unique_ptr<InputTimeout>> inputTimeouts;
     bool closesConnections = false;
 };
 
--- a/tests/http/test_httpserver.cpp
+++ b/tests/http/test_httpserver.cpp
@@ -2,8 +2,12 @@
 #include "httpserver.h"
 #include "rawconnection.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 using namespace Primrosefork;
@@ -69,6 +73,8 @@
     { "no request line", "hello\r\n\r\n", "400", true, 0 },
     { "unknown method", "BREW /a HTTP/1.1\r\nHost: x\r\n\r\n", "501", false, 0 },
     { "incomplete header", "GET /a HTTP/1.1\r\nHo", "", true, 0 },
+    { "nothing", "", "", true, 0 },
+    { "nothing after a request", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "GET /a 0", true, 1 },
     { "incomplete body", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 30\r\n\r\nabc", "", true, 0 },
 };
 
@@ -95,6 +101,61 @@
     }
 }
 
+struct BusyCase {
+    const char* name;
+    std::string first; ///< Sent before the loop is busy.
+    std::string second; ///< Sent while the loop is busy for longer than the read timeout.
+    int connections;
+    int handled; ///< Number of requests that reach the handler, of each connection.
+};
+
+const BusyCase busyCases[] = {
+    { "a request on a new connection", "", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", 1, 1 },
+    { "a request on a connection that was idle", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", 1, 2 },
+    { "the rest of a head", "GET /a HTTP/1.1\r\nHo", "st: x\r\n\r\n", 1, 1 },
+    { "the rest of a body", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc", "def", 1, 1 },
+    { "a whole body", "", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n" + std::string(900, 'x'), 1, 1 },
+    { "requests on many new connections", "", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", 200, 1 },
+    { "requests on many connections that were idle", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", 200, 2 },
+};
+
+auto answerCount(const std::string& received) -> int
+{
+    constexpr std::string_view status = "200 OK";
+    auto count = 0;
+    for (auto position = received.find(status); position != std::string::npos; position = received.find(status, position + 1))
+        ++count;
+    return count;
+}
+
+// Guards against a read timeout that is decided before input that had arrived in time.
+TEST_CASE("input that arrives while the loop is busy for longer than the read timeout is handled")
+{
+    for (const auto& row : busyCases) {
+        INFO(std::string(row.name));
+        Testkit::BlockingClient client;
+        EchoServer echo(client.eventLoop());
+        REQUIRE_FALSE(echo.listenError);
+        std::vector<std::unique_ptr<Testkit::RawConnection>> connections;
+        for (auto count = 0; count < row.connections; ++count) {
+            connections.push_back(std::make_unique<Testkit::RawConnection>(serverAddress));
+            connections.back()->send(row.first);
+        }
+        CHECK_FALSE(client.waitUntil([] { return false; }, 50ms));
+        std::this_thread::sleep_for(readTimeout - 100ms);
+        for (const auto& connection : connections)
+            connection->send(row.second);
+        std::this_thread::sleep_for(300ms);
+        client.waitUntil([&] { return echo.handled == row.handled * row.connections; }, 2s);
+        CHECK(echo.handled == row.handled * row.connections);
+        const auto isAnswered = [&row](const auto& connection) {
+            connection->poll();
+            return answerCount(connection->received()) == row.handled && !connection->isEnded();
+        };
+        CHECK(client.waitUntil([&] { return std::ranges::all_of(connections, isAnswered); }, 200ms));
+    }
+}
+
 TEST_CASE("closed is emitted when a client disconnects before its response is complete")
 {
     struct Row {
