Peer: Received messages that had arrived before the timeout of a stream between nodes

Other nodes would see: a request or a reply that reaches a node while its loop is busy past the timeout of the stream is dropped; the fetch of a configuration from a peer fails although the answer is there.

Change: one timer of ours for each stream, started again by each input until the message is complete, and once by sending. When it expires, it looks at what has arrived and lets unread input be read. The limits are the ones before; input after the message no longer extends the time for sending the answer.

--- a/src/peer/peerstream.h
+++ b/src/peer/peerstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "address.h"
+#include "eventloop.h"
 
 #include <chrono>
 #include <cstddef>
@@ -15,8 +16,6 @@
 
 namespace Primrosefork {
 
-class EventLoop;
-
 /**
  * One end of a TCP connection between nodes that carries one message in each direction.
  */
@@ -39,14 +38,21 @@
 
 private:
     auto handleReadable() -> void;
+    /** Returns whether a message was complete or too large; the handler was called then and may have destroyed the stream. */
+    [[nodiscard]] auto receiveMessage() -> bool;
+
     auto handleWritten() -> void;
     auto handleEvent(short events) -> void;
+    auto timedOut() -> void;
+    [[nodiscard]] auto hasUnreadInput() const -> bool;
     auto finish(std::error_code, std::span<const std::uint8_t> message = {}) -> void;
 
     bufferevent* buffer;
     std::size_t maxMessageBytes;
+    std::chrono::milliseconds timeout; ///< Time limit for the next input, and for the operating system to take what is sent.
     Handler handler;
     std::function<void()> sentTask;
+    Timer timer;
 };
 
 } // namespace Primrosefork
