--- a/src/forwarding/forwardrequest.h
+++ b/src/forwarding/forwardrequest.h
@@ -29,6 +29,9 @@
         return this->route->type == RouteType::Idempotent || (this->route->type == RouteType::Stream && this->route->isResumable);
     }
 
+    /** Returns the priority at an engine, from 0 (first) to 9: that of the workspace, then that of the route. */
+    [[nodiscard]] auto priority() const -> std::int64_t;
+
     [[nodiscard]] auto isStream() const -> bool { return this->route->type == RouteType::Stream; }
 };
 
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -28,8 +28,6 @@
 constexpr std::chrono::milliseconds unknownRemainingTime = 1h; ///< Assumed until the rate of a stream can be measured.
 constexpr std::chrono::milliseconds settlingTime = 500ms; ///< A server that crashes on a prompt may have sent its first events just before.
 constexpr int maxAttempts = 8; ///< Limits the attempts when servers refuse the request.
-constexpr std::int64_t lowestPriority = 9;
-constexpr std::int64_t routePriorities = 3; ///< Number of route priorities within each workspace priority.
 
 auto isEventStream(const HttpHeaders& headers) -> bool
 {
@@ -37,13 +35,6 @@
     return type && type->starts_with("text/event-stream");
 }
 
-auto priorityOf(const ForwardRequest& request) -> std::int64_t
-{
-    const auto route = std::min(request.route->priority, routePriorities - 1);
-    const auto workspace = request.workspace ? request.workspace->priority.value_or(0) : 0;
-    return std::min(lowestPriority, workspace * routePriorities + route);
-}
-
 auto millisecondsSince(EventLoop::TimePoint moment) -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - moment);
@@ -136,7 +127,7 @@
     fields.workspace = this->details.workspace ? this->details.workspace->name : "";
     fields.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(this->details.deadline - EventLoop::now());
     if (server.kind == BackendKind::Engine)
-        fields.priority = priorityOf(this->details);
+        fields.priority = this->details.priority();
     fields.resumeAfter = this->lastEventId;
     fields.kvCacheSource = this->copy;
     BackendMessage message;
@@ -478,7 +469,7 @@
     this->context.metrics.observe("request_seconds", EventLoop::now() - this->details.received);
     this->context.log.write(outcome.empty() ? Event::RequestAnswered : Event::RequestNotAnswered,
         { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "status", std::to_string(status) }, { "reason", reason }, { "connection", connectionEnd },
-            { "backend", this->attempt ? this->attempt->server.id : "" }, { "ms", std::to_string(this->age().count()) },
+            { "backend", this->attempt ? this->attempt->server.id : "" }, { "ms", std::to_string(millisecondsSince(this->details.received).count()) },
             { "attempts", std::to_string(this->attempts) }, { "runs", std::to_string(this->possibleRuns) }, { "events", std::to_string(this->eventCount) },
             { "configuration", std::to_string(this->details.table->configuration().version) } });
 }
@@ -489,11 +480,6 @@
     this->context.policy.requestEnded(this->routingRequest(), this->attempt->server, end, EventLoop::now());
 }
 
-auto ForwardRun::age() const -> std::chrono::milliseconds
-{
-    return millisecondsSince(this->details.received);
-}
-
 auto ForwardRun::finish() -> void
 {
     this->phase = Phase::Over;
@@ -503,7 +489,7 @@
 
 auto ForwardRun::dumpState() const -> nlohmann::json
 {
-    return { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "age_ms", this->age().count() },
+    return { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "age_ms", millisecondsSince(this->details.received).count() },
         { "backend", this->attempt ? this->attempt->server.id : "" }, { "attempts", this->attempts }, { "events", this->eventCount } };
 }
 
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -102,7 +102,6 @@
     auto recordOutcome(int status, const char* reason, const std::string& connectionEnd = {}) const -> void;
     auto endAttempt(AttemptEnd) -> void;
     auto finish() -> void;
-    [[nodiscard]] auto age() const -> std::chrono::milliseconds;
 
     const ForwardContext& context;
     ForwardRequest details;
