--- a/tests/gateway/test_settingsinforce.cpp
+++ b/tests/gateway/test_settingsinforce.cpp
@@ -28,6 +28,11 @@
         this->configure(7);
         this->registerServer("i-1", "app", 18321);
         REQUIRE(this->start());
+        this->startOther();
+    }
+
+    auto startOther() -> void
+    {
         this->otherSettings = this->settings;
         this->otherSettings.id = "node-2";
         this->otherSettings.callers.port = 18331;
