--- a/tests/gateway/test_quotas.cpp
+++ b/tests/gateway/test_quotas.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::int64_t perSecond = 29'000;
-constexpr double maxPerSecond = perSecond * 1.1; ///< Rate of the quota with the excess that the settings allow.
 constexpr double largeRequest = 9'000;
 constexpr double smallRequest = 200;
 
@@ -312,7 +311,7 @@
             granted += fixture.requestUnits(largeRequest) == true ? 1 : 0;
         const std::chrono::duration<double> elapsed = EventLoop::now() - begin;
         CHECK(granted >= row.min);
-        CHECK(granted * largeRequest <= row.initialUnits + maxPerSecond * elapsed.count());
+        CHECK(granted * largeRequest <= row.initialUnits + perSecond * elapsed.count());
     }
 }
 
