Gateway: Kept the limits of requests that servers name, by permits of the leader

Cause: the header with which a server names the requests a second that it takes from all nodes together was not read. Ruled out: read as a pause (the traffic at these servers did not change), each node keeping the limit by itself (nothing kept it).

A server without a permit is no candidate; when none is left callers are refused at once with the time of the next grant.

--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -34,7 +34,10 @@
     /** Reports what \a server stated about itself in the head of an answer with \a reply. */
     virtual auto replyReceived(const BackendServer& server, const ReplyFields& reply) -> void = 0;
 
-    /** Returns the time after which callers may try again, different for each, when all servers of \a service are paused; otherwise nothing. */
+    /** Notes that a request is being sent to \a server. */
+    virtual auto requestSent(const BackendServer& server) -> void = 0;
+
+    /** Returns the time after which callers may try again, different for each, when all servers of \a service are paused or have a limit that is used up; otherwise nothing. */
     virtual auto pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> = 0;
 
     /** Returns whether a run may continue at \a server from its copy there. */
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -102,6 +102,7 @@
     this->attempt->sent = now;
     this->attempt->isContinuation = this->copy.has_value();
     this->context.policy.requestSent(this->routingRequest(), server, now);
+    this->context.servers.requestSent(server);
     CallHandlers handlers;
     const auto alive = this->isAlive;
     handlers.onHead = [this, alive](const MessageHead& head, const ReplyFields& reply) {
--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -67,13 +67,14 @@
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, QuarantineController& quarantines, RelayController& relay, Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, RelayController& relay, Metrics& metrics, const EventLog& log, ReportSource reportSource)
     : loop(loop)
     , store(store)
     , settings(settings)
     , board(board)
     , quotas(quotas)
     , quarantines(quarantines)
+    , limits(limits)
     , relay(relay)
     , metrics(metrics)
     , log(log)
@@ -307,6 +308,7 @@
     node.report = *message.report;
     node.receivedAt = EventLoop::now();
     this->quarantines.reportReceived(message.sender, node.report.prompts, node.receivedAt);
+    this->limits.reportReceived(message.sender, node.report);
     for (const auto& entry : node.report.windows)
         node.windows[entry.window] = entry.counts;
     while (node.windows.size() > keptWindows)
@@ -322,7 +324,7 @@
         std::count_if(this->nodeRecords.begin(), this->nodeRecords.end(), [now](const auto& entry) { return now - entry.second.receivedAt < nodeTimeout; }));
 }
 
-auto CoordinationController::answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer
+auto CoordinationController::answerFor(const std::string& nodeId, std::uint32_t reportSequence) -> FleetAnswer
 {
     FleetAnswer answer;
     const auto nodes = std::max<std::size_t>(1, this->liveNodeCount);
@@ -330,6 +332,7 @@
     answer.term = this->board.leadership.value().term;
     answer.reportSequence = reportSequence;
     this->quarantines.addToAnswer(answer, EventLoop::now());
+    this->limits.addToAnswer(answer, nodeId);
     const auto node = this->nodeRecords.find(nodeId);
     const auto& traffic = this->board.traffic.value();
     const auto& registry = this->relay.watcher(RelayTopic::Registry);
@@ -359,6 +362,7 @@
 auto CoordinationController::sumReports() -> void
 {
     this->liveNodeCount = this->countLiveNodes();
+    this->limits.updateDemand(this->liveNodeCount);
     this->totalDemand.clear();
     const auto now = EventLoop::now();
     for (const auto& [id, node] : this->nodeRecords) {
@@ -424,6 +428,9 @@
         this->applyObservers(answer.observers);
     }
     this->quarantines.applyAnswer(answer, EventLoop::now());
+    // The leader answers itself at once; an answer to an earlier report has a time that is no longer known.
+    if (answer.reportSequence == 0 || report != this->reportTimes.end())
+        this->limits.applyAnswer(answer, answer.reportSequence == 0 ? BootClock::now() : report->second);
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     current.otherQuotaShare = answer.otherShare;
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -9,6 +9,7 @@
 #include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "relaycontroller.h"
+#include "serverlimitcontroller.h"
 #include "statesource.h"
 #include "streampartition.h"
 #include "udpsocket.h"
@@ -51,7 +52,7 @@
 public:
     using ReportSource = std::function<NodeReport()>;
 
-    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, RelayController&, Metrics&, const EventLog&, ReportSource);
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, RelayController&, Metrics&, const EventLog&, ReportSource);
     ~CoordinationController() override;
 
     auto begin() -> std::error_code;
@@ -89,7 +90,7 @@
     auto applyObservers(const std::vector<Address>&) -> void;
     auto leadershipChanged(const Leadership&) -> void;
     auto partitionEngines() -> void;
-    [[nodiscard]] auto answerFor(const std::string& nodeId, std::uint32_t reportSequence) const -> FleetAnswer;
+    auto answerFor(const std::string& nodeId, std::uint32_t reportSequence) -> FleetAnswer;
     [[nodiscard]] auto countLiveNodes() const -> std::size_t;
     auto send(const Address&, FleetMessage) -> void;
 
@@ -99,6 +100,7 @@
     GatewayBoard& board;
     QuotaController& quotas;
     QuarantineController& quarantines;
+    ServerLimitController& limits;
     RelayController& relay;
     Metrics& metrics;
     const EventLog& log;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -216,6 +216,7 @@
     serializeAs<std::uint32_t>(archive, value.openRequests);
     serializeAs<std::uint32_t>(archive, value.waitingRequests);
     serializeAs<std::uint32_t>(archive, value.openStreams);
+    serializeAmount(archive, value.requestsPerSecond);
 }
 
 template <typename Archive>
@@ -279,6 +280,20 @@
     serializeList(archive, value.quarantined);
 }
 
+template <typename Archive>
+static auto serialize(Archive& archive, LimitStatement& value) -> void
+{
+    archive(value.server);
+    serializeAmount(archive, value.perSecond, ServerLimits::maxPerSecond);
+    serializeTime(archive, value.age);
+}
+
+template <typename Archive>
+static auto serialize(Archive& archive, ServerPermits& value) -> void
+{
+    archive(value.server, value.count);
+}
+
 template <typename Archive>
 static auto serialize(Archive& archive, NodeReport& value) -> void
 {
@@ -291,6 +306,8 @@
     serializeList(archive, value.windows);
     serializeList(archive, value.services);
     serializeList(archive, value.prompts);
+    serializeList(archive, value.limits);
+    archive(value.limitsDigest);
 }
 
 template <typename Archive>
@@ -320,6 +337,10 @@
     serializeList(archive, value.observers);
     serializeList(archive, value.prompts);
     serializeFlag(archive, value.hasAllQuarantines);
+    serializeList(archive, value.permits);
+    serializeFlag(archive, value.hasLimits);
+    serializeFlag(archive, value.hasAllLimits);
+    serializeList(archive, value.limits);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -4,6 +4,7 @@
 #include "keyvaluestore.h"
 #include "promptevidence.h"
 #include "quotaledger.h"
+#include "serverlimits.h"
 #include "usageledger.h"
 
 #include <chrono>
@@ -36,6 +37,7 @@
     std::int64_t openRequests = 0; ///< Number of requests that were sent to servers and are not finished.
     std::int64_t waitingRequests = 0; ///< Number of requests that wait for a server.
     std::int64_t openStreams = 0; ///< Number of long streams among all requests of the service.
+    double requestsPerSecond = 0; ///< Requests of callers per second, whether they were served or refused for want of a server.
 };
 
 /** A node's report to the leader. */
@@ -50,6 +52,8 @@
     std::vector<WindowReport> windows; ///< The windows whose counts the leader has not confirmed.
     std::vector<ServiceReport> services;
     std::vector<PromptEvidence> prompts; ///< Evidence of prompts that crash servers, by service.
+    std::vector<LimitStatement> limits; ///< Limits that servers named or withdrew lately; all that are known for a new leader.
+    std::uint64_t limitsDigest = 0; ///< Digest of all limits that the node knows.
 };
 
 /** The share of a workspace's quota that one node may grant without the leader. */
@@ -78,6 +82,10 @@
     std::vector<StreamEngines> streamEngines;
     std::vector<Address> observers; ///< Nodes that watch the store and relay its changes.
     std::vector<PromptVerdict> prompts; ///< Prompt parts in question and under quarantine, by service.
+    std::vector<ServerPermits> permits; ///< Requests that the node may send to servers with a limit.
+    bool hasLimits = false; ///< Whether the limits that the leader knows are listed, since the node knows others.
+    bool hasAllLimits = false; ///< Whether the leader knows all limits; a new leader may not know them yet.
+    std::vector<LimitStatement> limits;
     bool hasAllQuarantines = false; ///< Whether all parts under quarantine are named; a new leader may not know them yet.
 };
 
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -25,6 +25,7 @@
 constexpr double connectionPart = 0.8; ///< Fraction of the connections accepted by a server that all nodes together open.
 constexpr std::int64_t minConnections = 4; ///< Connections that a node may open to each server, however many nodes there are.
 constexpr double loadSmoothing = 0.12; ///< Weight of the newest report: engines are ordered by a mean over several seconds.
+constexpr double demandSmoothing = 0.25; ///< Weight of the newest report in the rate of requests, which decides on shares of servers' limits.
 constexpr std::chrono::milliseconds defaultDeadline = 60s; ///< Deadline of requests for which neither caller nor route sets one.
 
 auto pathOf(const std::string& target) -> std::string
@@ -43,12 +44,13 @@
 } // namespace
 
 ForwardController::ForwardController(EventLoop& loop, const HeaderCodec& dialect, RunMover& mover, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, PromptMonitor& prompts, const WallClock& clock, Metrics& metrics, const EventLog& log)
+    QuotaController& quotas, ServerLimitController& limits, PromptMonitor& prompts, const WallClock& clock, Metrics& metrics, const EventLog& log)
     : loop(loop)
     , dialect(dialect)
     , settings(settings)
     , board(board)
     , quotas(quotas)
+    , limits(limits)
     , prompts(prompts)
     , clock(clock)
     , metrics(metrics)
@@ -128,6 +130,7 @@
         serviceFor(*request.route, static_cast<double>(this->random() - std::minstd_rand::min()) / static_cast<double>(std::minstd_rand::max())));
     if (!request.service)
         return Refusal { HttpStatus::unavailable, "no_service", notReadyRetryDelay };
+    ++this->receivedRequests[request.service->name];
     if (const auto wait = this->pauseLeft(request.service->name, EventLoop::now()))
         return Refusal { HttpStatus::unavailable, "servers_paused", wait };
     if (const auto left = this->prompts.quarantineLeft(request.service->name, request.fields.promptParts, EventLoop::now()))
@@ -302,7 +305,7 @@
     routing.zone = this->settings.zone;
     auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random);
     std::erase_if(candidates, [this, &request, &excluded, now](const auto* server) {
-        return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->hasFreeConnection(*server, *request.service);
+        return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->limits.takesRequest(*server) || !this->hasFreeConnection(*server, *request.service);
     });
     const auto* server = this->policy.choose(routing, candidates, now);
     if (server)
@@ -330,6 +333,7 @@
         this->logLeftOut(server.id, UnavailableReason::Leaving, {});
         this->moveTimer.start(0ms);
     }
+    this->limits.replyReceived(server, reply);
     if (!reply.retryAfter)
         return;
     if (this->availability.pauseRequested(server, *reply.retryAfter, EventLoop::now()))
@@ -343,7 +347,9 @@
     const auto found = this->serversByService.find(service);
     if (found == this->serversByService.end())
         return std::nullopt;
-    const auto next = this->availability.nextAvailable(found->second.servers(), now);
+    const auto next = this->availability.nextAvailable(found->second.servers(), now, [this, now](const BackendServer& server) {
+        return this->limits.takesRequest(server) ? std::nullopt : std::optional(now + this->limits.nextGrantDelay());
+    });
     if (!next)
         return std::nullopt;
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(*next - now);
@@ -372,12 +378,23 @@
     this->quotas.addToReport(report);
     for (const auto& [window, counts] : this->usage.windows())
         report.windows.push_back({ window, counts });
+    this->limits.addToReport(report);
     std::map<std::string, ServiceReport> services;
+    for (auto& [service, count] : this->receivedRequests) {
+        auto& rate = this->requestsPerSecond[service];
+        rate += demandSmoothing * (static_cast<double>(count) / seconds - rate);
+        count = 0;
+        services[service].service = service;
+        services[service].requestsPerSecond = rate;
+    }
     for (auto& [service, tokens] : this->readTokens) {
         auto& rate = this->readTokensPerSecond[service];
         rate += loadSmoothing * (static_cast<double>(tokens) / seconds - rate);
         tokens = 0;
-        services[service] = { service, rate, this->policy.prefillRate(service), 0, 0, 0 };
+        auto& entry = services[service];
+        entry.service = service;
+        entry.readTokensPerSecond = rate;
+        entry.engineTokensPerSecond = this->policy.prefillRate(service);
     }
     for (const auto& [id, run] : this->runs) {
         auto& entry = services[run->request().service->name];
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -12,6 +12,7 @@
 #include "runmover.h"
 #include "serveravailability.h"
 #include "serverindex.h"
+#include "serverlimitcontroller.h"
 #include "statesource.h"
 #include "wallclock.h"
 
@@ -31,7 +32,7 @@
  */
 class ForwardController : public StateSource, private ServerSelector {
 public:
-    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, PromptMonitor&, const WallClock&, Metrics&, const EventLog&);
+    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, ServerLimitController&, PromptMonitor&, const WallClock&, Metrics&, const EventLog&);
     ~ForwardController() override;
 
     auto handle(const std::shared_ptr<CallerExchange>&) -> void;
@@ -70,6 +71,7 @@
     auto tryAcquireAttempt(const std::string& service, EventLoop::TimePoint now) -> bool override;
     auto serverMoved(const std::string& id) -> void override;
     auto replyReceived(const BackendServer&, const ReplyFields&) -> void override;
+    auto requestSent(const BackendServer& server) -> void override { this->limits.requestSent(server); }
     auto pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> override;
     [[nodiscard]] auto mayResumeCopy(const BackendServer&, EventLoop::TimePoint now) const -> bool override;
     auto logLeftOut(const std::string& id, UnavailableReason, std::optional<std::chrono::milliseconds> duration) -> void;
@@ -80,6 +82,7 @@
     const GatewaySettings& settings;
     GatewayBoard& board;
     QuotaController& quotas;
+    ServerLimitController& limits;
     PromptMonitor& prompts;
     const WallClock& clock;
     Metrics& metrics;
@@ -94,6 +97,8 @@
     std::map<std::string, std::int64_t> serverStartTimes; ///< Start time of each server as registered, by id, to detect a restart.
     ServerAvailability availability; ///< Which of the live servers get no requests, by their own answers.
     std::map<std::string, std::int64_t> readTokens; ///< Prompt tokens that engines had to read since the last report, by service.
+    std::map<std::string, std::int64_t> receivedRequests; ///< Requests since the last report, by service.
+    std::map<std::string, double> requestsPerSecond; ///< Smoothed rate of these requests, by service.
     std::map<std::string, double> readTokensPerSecond; ///< Smoothed rate of these tokens, by service.
     std::map<std::uint64_t, std::unique_ptr<ForwardRun>> runs;
     Timer waitTimer;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -19,6 +19,7 @@
 #include "registrycontroller.h"
 #include "relaycontroller.h"
 #include "runmover.h"
+#include "serverlimitcontroller.h"
 #include "settingsmonitor.h"
 #include "stopcontroller.h"
 #include "trafficcontroller.h"
@@ -82,6 +83,7 @@
     Timer clockTimer;
     QuotaController quotas;
     QuarantineController quarantines;
+    ServerLimitController limits;
     ForwardController forwarding;
     TrafficController traffic;
     RegistryController registry;
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -36,6 +36,7 @@
     EventDescription { Event::RegistrationUnreadable, Severity::Warning, "registrationUnreadable" },
     EventDescription { Event::RegistrationLapsed, Severity::Warning, "registrationLapsed" },
     EventDescription { Event::BackendLeftOut, Severity::Info, "backendLeftOut" },
+    EventDescription { Event::BackendLimited, Severity::Info, "backendLimited" },
     EventDescription { Event::AttemptFailed, Severity::Warning, "attemptFailed" },
     EventDescription { Event::AnswerCutOff, Severity::Error, "answerCutOff" },
     EventDescription { Event::StreamMoved, Severity::Info, "streamMoved" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -46,6 +46,7 @@
     RegistrationUnreadable = 3105,
     RegistrationLapsed = 3106,
     BackendLeftOut = 3107,
+    BackendLimited = 3108,
     AttemptFailed = 4001,
     AnswerCutOff = 4002,
     StreamMoved = 4003,
--- a/src/systems/headercodec.h
+++ b/src/systems/headercodec.h
@@ -44,6 +44,8 @@
     std::optional<ObservedLoad> load; ///< Load of the server at the time of the answer.
     bool isServerLeaving = false; ///< Whether the server states that it leaves. Values that are not defined state nothing.
     std::optional<std::chrono::milliseconds> retryAfter; ///< Time, above zero, for which the server wants no requests, in a 503: the longest readable one. Values that are no number, not finite or not above zero ask for none.
+    std::optional<double> rateLimit; ///< Requests per second, not negative, that the server takes from all nodes together: the lowest readable one. Nothing when it names no limit.
+    bool hasUnreadableRateLimit = false; ///< Whether the server names a limit that is no number, not finite or negative.
 };
 
 /**
--- a/src/traffic/serveravailability.cpp
+++ b/src/traffic/serveravailability.cpp
@@ -86,16 +86,18 @@
     return !state || (state->pausedUntil <= now && (!state->leavingSince || now - *state->leavingSince < drain));
 }
 
-auto ServerAvailability::nextAvailable(std::span<const BackendServer* const> servers, TimePoint now) const -> std::optional<TimePoint>
+auto ServerAvailability::nextAvailable(std::span<const BackendServer* const> servers, TimePoint now, const BusyUntil& busyUntil) const -> std::optional<TimePoint>
 {
     std::optional<TimePoint> next;
     for (const auto* server : servers) {
         const auto* state = this->find(*server);
         if (state && state->leavingSince)
             continue;
-        if (!state || state->pausedUntil <= now)
+        const auto isPaused = state && state->pausedUntil > now;
+        const auto until = !isPaused && busyUntil ? busyUntil(*server) : std::nullopt;
+        if (!isPaused && !until)
             return std::nullopt;
-        next = std::min(next.value_or(TimePoint::max()), state->pausedUntil);
+        next = std::min(next.value_or(TimePoint::max()), until.value_or(isPaused ? state->pausedUntil : now));
     }
     return next;
 }
--- a/src/traffic/serveravailability.h
+++ b/src/traffic/serveravailability.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -64,8 +65,11 @@
     /** Returns whether a run may continue from its copy at \a server: it is not paused, and has not been leaving for \a drain or longer. */
     [[nodiscard]] auto mayResumeCopy(const BackendServer& server, std::chrono::milliseconds drain, TimePoint now) const -> bool;
 
-    /** Returns the time at which the first of \a servers takes requests again when all that do not leave are paused, otherwise nothing. */
-    [[nodiscard]] auto nextAvailable(std::span<const BackendServer* const> servers, TimePoint now) const -> std::optional<TimePoint>;
+    /** Returns the time until which a server takes no requests for another reason than its statements, if any. */
+    using BusyUntil = std::function<std::optional<TimePoint>(const BackendServer&)>;
+
+    /** Returns the time at which the first of \a servers takes requests again when all that do not leave are paused or busy, otherwise nothing. */
+    [[nodiscard]] auto nextAvailable(std::span<const BackendServer* const> servers, TimePoint now, const BusyUntil& busyUntil = {}) const -> std::optional<TimePoint>;
 
     /** Discards what was stated by servers that are not in \a servers any more or were started anew. */
     auto retain(const BackendServers& servers, TimePoint now) -> void;
--- a/tests/forwarding/attemptworld.h
+++ b/tests/forwarding/attemptworld.h
@@ -121,6 +121,7 @@
     auto tryAcquireAttempt(const std::string& /*service*/, EventLoop::TimePoint /*now*/) -> bool override { return true; }
     auto serverMoved(const std::string& /*id*/) -> void override { }
     auto replyReceived(const BackendServer& /*server*/, const ReplyFields& /*reply*/) -> void override { }
+    auto requestSent(const BackendServer& /*server*/) -> void override { }
     auto pauseLeft(const std::string& /*service*/, EventLoop::TimePoint /*now*/) -> std::optional<std::chrono::milliseconds> override { return std::nullopt; }
     [[nodiscard]] auto mayResumeCopy(const BackendServer& /*server*/, EventLoop::TimePoint /*now*/) const -> bool override { return true; }
 
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -19,7 +19,9 @@
     report.windows = { { 353'445'120, { { "salon", 412 }, { "kiosk", 1 } } } };
     report.settingsDigest = 1ULL << 63U;
     report.configurationRevision = 901;
-    report.services = { { "llm", 8'000, 30'000, 5, 1, 2 } };
+    report.services = { { "llm", 8'000, 30'000, 5, 1, 2, 41.5 } };
+    report.limits = { { 1ULL << 63U, 2.5F, 300ms }, { 8, 0, 2s } };
+    report.limitsDigest = 1ULL << 62U;
     report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 0xffffffff, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms }, { 18, 59s } } } },
         { { 5, 1s }, { 6, std::nullopt } }, { { 9, 10min } } } };
     return report;
@@ -38,6 +40,9 @@
     answer.streamEngines = { { "llm", 7 } };
     answer.prompts = { { "llm", { 5, 1ULL << 63U }, { { 9, 599'999ms } } } };
     answer.hasAllQuarantines = true;
+    answer.permits = { { 1ULL << 63U, 65'535 } };
+    answer.hasLimits = true;
+    answer.limits = { { 8, 0.5F, 2s } };
     answer.observers = { { "10.1.0.14", 7600 }, { "127.0.0.1", 65'535 } };
     return answer;
 }
@@ -75,6 +80,13 @@
     CHECK(report.workspaces[1].workspace == "kiosk");
     CHECK(report.windows.front().counts == UsageCounts { { "salon", 412 }, { "kiosk", 1 } });
     CHECK(report.services.front().openRequests == 5);
+    CHECK(report.services.front().requestsPerSecond == 41.5);
+    REQUIRE(report.limits.size() == 2);
+    CHECK(report.limits[0].server == 1ULL << 63U);
+    CHECK(report.limits[0].perSecond == 2.5F);
+    CHECK(report.limits[1].perSecond == 0);
+    CHECK(report.limits[1].age == 2s);
+    CHECK(report.limitsDigest == 1ULL << 62U);
     CHECK(report.settingsDigest == 1ULL << 63U);
     CHECK(report.configurationRevision == 901);
     REQUIRE(report.prompts.size() == 1);
@@ -108,6 +120,10 @@
     CHECK(decoded->answer->prompts.front().questioned == std::vector<std::uint64_t> { 5, 1ULL << 63U });
     CHECK(decoded->answer->prompts.front().quarantined.front().left == 599'999ms);
     CHECK(decoded->answer->hasAllQuarantines);
+    CHECK(decoded->answer->permits.front().count == 65'535);
+    CHECK(decoded->answer->hasLimits);
+    CHECK_FALSE(decoded->answer->hasAllLimits);
+    CHECK(decoded->answer->limits.front().perSecond == 0.5F);
     CHECK(decoded->answer->observers == makeAnswer().observers);
 }
 
--- a/tests/platform/test_headers.cpp
+++ b/tests/platform/test_headers.cpp
@@ -241,6 +241,38 @@
     }
 }
 
+struct LimitHeaderCase {
+    const char* name;
+    HttpHeaders headers;
+    std::optional<double> perSecond;
+    bool isUnreadable;
+};
+
+const LimitHeaderCase limitHeaderCases[] = {
+    { "a decimal number", { { "Server-Limit", "2.6" } }, 2.6, false },
+    { "zero", { { "Server-Limit", "0" } }, 0, false },
+    { "no limit", {}, {}, false },
+    { "the lowest of several", { { "Server-Limit", "7" }, { "Server-Limit", "3" } }, 3, false },
+    { "several, one of them unreadable", { { "Server-Limit", "x" }, { "Server-Limit", "3" } }, 3, true },
+    { "text", { { "Server-Limit", "few" } }, {}, true },
+    { "an empty value", { { "Server-Limit", "" } }, {}, true },
+    { "a negative number", { { "Server-Limit", "-1" } }, {}, true },
+    { "not a number", { { "Server-Limit", "nan" } }, {}, true },
+    { "infinity", { { "Server-Limit", "inf" } }, {}, true },
+};
+
+TEST_CASE("a limit of requests is read from answers of any status, and unreadable values name none")
+{
+    for (const auto& row : limitHeaderCases) {
+        for (const int status : { 200, 500, 503 }) {
+            CAPTURE(row.name);
+            const auto reply = PlatformHeaders().readReply(status, row.headers);
+            CHECK(reply.rateLimit == row.perSecond);
+            CHECK(reply.hasUnreadableRateLimit == row.isUnreadable);
+        }
+    }
+}
+
 TEST_CASE("the load of a server is decoded, and ignored when it is incomplete")
 {
     const auto reply = PlatformHeaders().readReply(200, { { "X-Instance-Load", "3,1,8,250" } });
