Gateway: Ordered engines in place of what limited ones do not take

Cause: the planner counted a limited engine as a whole one. Ruled out: unused permits (the other servers were full, too).

Change: an engine that takes less than its part of the requests counts as that fraction.

Test fleetplanner: rows of limited engines, written with the code.

--- a/src/gateway/fleetcontroller.cpp
+++ b/src/gateway/fleetcontroller.cpp
@@ -24,12 +24,13 @@
 } // namespace
 
 FleetController::FleetController(EventLoop& loop, KeyValueStore& store, FleetApi& fleet, const GatewaySettings& settings, GatewayBoard& board,
-    const CoordinationController& coordination, LeadershipController& leadership, Metrics& metrics, const EventLog& log)
+    const CoordinationController& coordination, const ServerLimitController& limits, LeadershipController& leadership, Metrics& metrics, const EventLog& log)
     : store(store)
     , fleet(fleet)
     , settings(settings)
     , board(board)
     , coordination(coordination)
+    , limits(limits)
     , leadership(leadership)
     , metrics(metrics)
     , log(log)
@@ -139,6 +140,7 @@
             if (entry.service != service)
                 continue;
             demand.prefillTokensPerSecond += entry.readTokensPerSecond;
+            demand.requestsPerSecond += entry.requestsPerSecond;
             demand.openRequests += entry.openRequests + entry.waitingRequests;
             demand.engineTokensPerSecond = std::max(demand.engineTokensPerSecond, entry.engineTokensPerSecond);
         }
@@ -166,7 +168,11 @@
     if (isNew && recordedNeed != this->recordedNeeds.end())
         planner.restoreNeeded(recordedNeed->second, now);
     const auto slots = service.engine ? service.engine->slots : servers.front()->slots;
-    const auto demand = this->demandFor(service.name);
+    auto demand = this->demandFor(service.name);
+    for (const auto* server : servers) {
+        if (const auto limit = server->state == InstanceState::Live ? this->limits.limitOf(*server) : std::nullopt)
+            demand.engineLimits.push_back(*limit);
+    }
     this->metrics.setGauge("read_tokens_per_second", demand.prefillTokensPerSecond);
     this->metrics.setGauge("engine_tokens_per_second", demand.engineTokensPerSecond);
     for (const auto& target : planner.plan(demand, slots, servers, now))
--- a/src/gateway/fleetcontroller.h
+++ b/src/gateway/fleetcontroller.h
@@ -7,6 +7,7 @@
 #include "gatewaysettings.h"
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
+#include "serverlimitcontroller.h"
 #include "statesource.h"
 
 #include <map>
@@ -28,7 +29,7 @@
  */
 class FleetController : public StateSource {
 public:
-    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, LeadershipController&, Metrics&, const EventLog&);
+    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, const ServerLimitController&, LeadershipController&, Metrics&, const EventLog&);
     ~FleetController() override;
 
     auto begin() -> void;
@@ -60,6 +61,7 @@
     const GatewaySettings& settings;
     GatewayBoard& board;
     const CoordinationController& coordination;
+    const ServerLimitController& limits;
     LeadershipController& leadership;
     Metrics& metrics;
     const EventLog& log;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -38,7 +38,7 @@
     , relay(loop, this->settings, this->shared, { &this->traffic.storeWatcher(), &this->registry.storeWatcher(), &this->leadership.storeWatcher() }, this->metrics, this->log)
     , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->relay, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
-    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->metrics, this->log)
+    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->leadership, this->metrics, this->log)
     , callers(loop, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
     , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isConfigurationFresh(); })
     , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
--- a/src/traffic/fleetplanner.cpp
+++ b/src/traffic/fleetplanner.cpp
@@ -19,6 +19,16 @@
 constexpr std::int64_t minTotalEngines = 2; ///< Engines of a service at any load, so that one may be lost at any moment.
 constexpr std::chrono::milliseconds registrationMargin = 2s; ///< Time for a new engine to register after it has booted.
 
+/** Returns how many engines are to be added because limited ones take less than their part of the requests of \a engines without a limit. */
+auto enginesMissingByLimits(const ServiceDemand& demand, double engines) -> double
+{
+    const auto perEngine = demand.requestsPerSecond / engines;
+    double missing = 0;
+    for (const auto limit : demand.engineLimits)
+        missing += perEngine > 0 ? std::max(0.0, 1 - limit / perEngine) : 0;
+    return missing;
+}
+
 } // namespace
 
 FleetPlanner::FleetPlanner(ScalingSettings scalingSettings)
@@ -55,7 +65,8 @@
         return this->stableNeed > 0 ? this->stableNeed : std::max(minTotalEngines, present);
     const auto enginesForPrefill = demand.prefillTokensPerSecond / (demand.engineTokensPerSecond * targetUtilization);
     const auto enginesForSlots = static_cast<double>(demand.openRequests) / (static_cast<double>(std::max<std::int64_t>(1, slots)) * targetSlotUtilization);
-    return std::max(minTotalEngines, static_cast<std::int64_t>(std::ceil(std::max(enginesForPrefill, enginesForSlots))));
+    const auto engines = std::max<double>(minTotalEngines, std::ceil(std::max(enginesForPrefill, enginesForSlots)));
+    return static_cast<std::int64_t>(engines + std::ceil(enginesMissingByLimits(demand, engines)));
 }
 
 auto FleetPlanner::stabilized(std::int64_t needed, TimePoint now) -> std::int64_t
--- a/src/traffic/fleetplanner.h
+++ b/src/traffic/fleetplanner.h
@@ -16,6 +16,8 @@
     double prefillTokensPerSecond = 0; ///< Prompt tokens that the engines have to prefill per second.
     double engineTokensPerSecond = 0; ///< Prefill rate of one engine; 0 while it is not known.
     std::int64_t openRequests = 0; ///< Requests that run on an engine or wait for one.
+    double requestsPerSecond = 0; ///< Requests that callers send per second.
+    std::vector<double> engineLimits {}; ///< Requests per second that engines take which name a limit, one entry for each.
 };
 
 /** Number of engines of one kind that a service should have in a zone. */
--- a/tests/traffic/test_fleetplanner.cpp
+++ b/tests/traffic/test_fleetplanner.cpp
@@ -111,6 +111,33 @@
     }
 }
 
+struct LimitedCase {
+    const char* name;
+    std::vector<double> limits; ///< Limits that engines name.
+    std::int64_t needed;
+};
+
+const LimitedCase limitedCases[] = {
+    { "no engine names a limit", {}, 7 },
+    { "four engines take half of their part", { 5, 5, 5, 5 }, 9 },
+    { "four engines take nothing", { 0, 0, 0, 0 }, 11 },
+    { "four engines name more than their part", { 50, 50, 50, 50 }, 7 },
+};
+
+TEST_CASE("engines are ordered in place of what limited ones do not take")
+{
+    for (const auto& row : limitedCases) {
+        CAPTURE(row.name);
+        FleetPlanner planner(makeSettings());
+        const Engines engines;
+        auto demand = demandOf(3);
+        demand.requestsPerSecond = 70; // Ten for each of the seven engines that are needed without limits.
+        demand.engineLimits = row.limits;
+        static_cast<void>(planner.plan(demand, slots, engines.pointers(), start));
+        CHECK(planner.lastNeededEngines() == row.needed);
+    }
+}
+
 TEST_CASE("refused orders do not move on-demand engines between zones")
 {
     FleetPlanner planner(makeSettings());
