--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -102,7 +102,7 @@
         if (place->entrance != address)
             continue;
         if (treatment == Treatment::Refused)
-            answer(*place->exchange, HttpStatus::unavailable, Json::object());
+            this->reply(*place->exchange, HttpStatus::unavailable, Json::object());
         else
             this->ignoredCalls.push_back(place->exchange);
         this->watches.erase(place);
@@ -117,7 +117,7 @@
         return this->handle(exchange, address);
     if (entrance.treatment == Treatment::Ignored)
         return this->ignoredCalls.push_back(exchange);
-    answer(*exchange, HttpStatus::unavailable, Json::object());
+    this->reply(*exchange, HttpStatus::unavailable, Json::object());
 }
 
 auto StoreStandIn::handle(const std::shared_ptr<HttpExchange>& exchange, const Address& entrance) -> void
@@ -155,20 +155,41 @@
         watch.exchange->abort();
 }
 
+auto StoreStandIn::backup() const -> Backup
+{
+    return { this->items, this->revision };
+}
+
+auto StoreStandIn::restore(const Backup& backup) -> void
+{
+    this->items = backup.items;
+    this->revision = backup.revision;
+    ++this->restorations;
+    this->leaseEnds.clear();
+    this->nextLease = 1;
+    this->leasesExpire = true;
+    this->abortWatches();
+}
+
+auto StoreStandIn::reply(HttpExchange& exchange, int status, const Json& body) const -> void
+{
+    exchange.respond({ status, { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(this->restorations) } }, body.dump() });
+}
+
 auto StoreStandIn::grantLease(HttpExchange& exchange) -> void
 {
     const auto lease = this->nextLease++;
     this->leaseEnds[lease] = EventLoop::now() + leaseTime;
-    answer(exchange, HttpStatus::ok, { { "lease", lease }, { "ttl-ms", leaseTime.count() } });
+    this->reply(exchange, HttpStatus::ok, { { "lease", lease }, { "ttl-ms", leaseTime.count() } });
 }
 
 auto StoreStandIn::keepLease(HttpExchange& exchange, std::uint64_t lease) -> void
 {
     const auto found = this->leaseEnds.find(lease);
     if (this->leasesExpire && found == this->leaseEnds.end())
-        return answer(exchange, HttpStatus::notFound, Json::object());
+        return this->reply(exchange, HttpStatus::notFound, Json::object());
     this->leaseEnds[lease] = EventLoop::now() + leaseTime;
-    answer(exchange, HttpStatus::ok, { { "ttl-ms", leaseTime.count() } });
+    this->reply(exchange, HttpStatus::ok, { { "ttl-ms", leaseTime.count() } });
 }
 
 auto StoreStandIn::handleNow(const std::shared_ptr<HttpExchange>& exchange, const Address& entrance) -> void
@@ -176,7 +197,7 @@
     const auto& request = exchange->request();
     ++this->calls;
     if (this->failureStatus != 0)
-        return answer(*exchange, this->failureStatus, Json::object());
+        return this->reply(*exchange, this->failureStatus, Json::object());
     if (request.path == "/kv-range")
         return this->range(*exchange);
     if (request.path == "/kv-txn")
@@ -189,19 +210,19 @@
         ++this->keyReads;
         const auto found = this->items.find(request.queryValue("key").value_or(""));
         if (found == this->items.end() || found->second.isDeleted)
-            return answer(*exchange, HttpStatus::notFound, Json::object());
-        return answer(*exchange, HttpStatus::ok,
+            return this->reply(*exchange, HttpStatus::notFound, Json::object());
+        return this->reply(*exchange, HttpStatus::ok,
             { { "key", found->first }, { "value", found->second.value }, { "revision", found->second.revision }, { "current-rev", this->revision } });
     }
     if (request.path == "/kv-watch") {
         const auto after = std::strtoull(request.queryValue("after").value_or("0").c_str(), nullptr, 10);
-        if (after < this->oldestRevision)
-            return answer(*exchange, 410, Json::object());
+        if (after < this->oldestRevision || after > this->revision)
+            return this->reply(*exchange, 410, Json::object());
         const std::chrono::milliseconds wait(std::strtoll(request.queryValue("wait-ms").value_or("0").c_str(), nullptr, 10));
         this->watches.push_back({ request.queryValue("prefix").value_or(""), after, EventLoop::now() + wait, exchange, entrance });
         return this->answerWatches();
     }
-    answer(*exchange, HttpStatus::notFound, Json::object());
+    this->reply(*exchange, HttpStatus::notFound, Json::object());
 }
 
 auto StoreStandIn::range(HttpExchange& exchange) -> void
@@ -218,7 +239,7 @@
             break;
         list.push_back({ { "key", key }, { "value", item.value }, { "revision", item.revision }, { "created-rev", item.revision }, { "lease", item.lease } });
     }
-    answer(exchange, HttpStatus::ok, { { "items", list }, { "more-pages", hasMore }, { "current-rev", this->revision } });
+    this->reply(exchange, HttpStatus::ok, { { "items", list }, { "more-pages", hasMore }, { "current-rev", this->revision } });
 }
 
 auto StoreStandIn::transact(const std::shared_ptr<HttpExchange>& exchange) -> void
@@ -233,19 +254,19 @@
         auto list = Json::array();
         if (exists)
             list.push_back({ { "key", key }, { "value", found->second.value }, { "revision", found->second.revision } });
-        return answer(*exchange, 412, { { "items", list }, { "current-rev", this->revision } });
+        return this->reply(*exchange, 412, { { "items", list }, { "current-rev", this->revision } });
     }
     for (const auto& put : body["puts"]) {
         const auto lease = put.value("lease", std::uint64_t { 0 });
         if (this->leasesExpire && lease != 0 && !this->leaseEnds.contains(lease))
-            return answer(*exchange, HttpStatus::notFound, Json::object());
+            return this->reply(*exchange, HttpStatus::notFound, Json::object());
     }
     for (const auto& put : body["puts"])
         this->write(put["key"].get<std::string>(), put["value"].get<std::string>(), put.value("lease", std::uint64_t { 0 }), false);
     if (this->dropsWriteAnswers)
         exchange->abort();
     else
-        answer(*exchange, HttpStatus::ok, { { "revision", this->revision } });
+        this->reply(*exchange, HttpStatus::ok, { { "revision", this->revision } });
     this->answerWatches();
 }
 
@@ -269,7 +290,7 @@
             ++watch;
             continue;
         }
-        answer(*watch->exchange, HttpStatus::ok, { { "events", events }, { "current-rev", this->revision } });
+        this->reply(*watch->exchange, HttpStatus::ok, { { "events", events }, { "current-rev", this->revision } });
         watch = this->watches.erase(watch);
     }
 }
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,15 @@
     /** Deletes all keys that are bound to a lease, as happens when leases expire in a long outage. */
     auto expireLeases() -> void;
 
+    /** The contents of the store at one moment. */
+    struct Backup;
+
+    /** Returns the contents of the store. */
+    [[nodiscard]] auto backup() const -> Backup;
+
+    /** Replaces the contents by those of \a backup, as after a restoration: revisions and leases given out since are forgotten, and given out again. */
+    auto restore(const Backup& backup) -> void;
+
     /** Listens at \a address, too, where one node reaches the store, so that the node can be turned away. */
     auto addEntrance(const Address& address) -> void;
 
@@ -124,6 +134,7 @@
     };
 
     auto tick() -> void;
+    auto reply(HttpExchange&, int status, const nlohmann::json& body) const -> void;
     auto grantLease(HttpExchange&) -> void;
     auto keepLease(HttpExchange&, std::uint64_t lease) -> void;
     auto handleAt(const Address& entrance, const std::shared_ptr<HttpExchange>&) -> void;
@@ -146,8 +157,14 @@
     std::uint64_t revision = 1;
     std::uint64_t oldestRevision = 0; ///< Watches from earlier revisions get status 410.
     std::uint64_t nextLease = 1;
+    std::uint64_t restorations = 0; ///< Number of restorations so far, which all answers state.
     std::map<std::uint64_t, EventLoop::TimePoint> leaseEnds; ///< When each lease expires.
     std::deque<DelayedCall> delayedCalls;
 };
 
+struct StoreStandIn::Backup {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+};
+
 } // namespace Primrosefork::Testkit
