Forwarding: Took an error without a request id on a used connection for no answer

What callers would see: a server that writes an earlier refusal once more, without the id of its request, on a kept connection: the next request is answered 503, "not run", while the server runs it (REFUSED), and might run twice.

Cause: an error without an id was taken for the answer to the present request on any connection. Ruled out: refusals with an id (they are told apart, rows of the test). On the first call of a connection such an error still counts.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -140,6 +140,9 @@
     this->isOwnResponse = reply.requestId ? *reply.requestId == this->requestId : head.status >= firstErrorStatus;
     if (!this->isOwnResponse)
         return;
+    // On a connection that was used before, it may be the repeated answer to an earlier request, which tells nothing of this one.
+    if (!reply.requestId && this->hasAnswered)
+        return this->finish(CallOutcome::Lost, false);
     this->updateReuseDeadline(head.headers);
     const auto current = this->handlers;
     if (current && current->onHead)
@@ -175,6 +178,7 @@
         this->parser.reset(this->isHeadRequest);
         return;
     }
+    this->hasAnswered = true;
     const auto& head = this->parser.head();
     const auto isRequestSent = evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
     const auto hasUnreadBytes = evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
--- a/src/forwarding/backendconnection.h
+++ b/src/forwarding/backendconnection.h
@@ -101,6 +101,7 @@
     bool isBusy = false;
     bool isOwnResponse = false; ///< Whether the message being read is the response to the current call.
     bool isHeadRequest = false;
+    bool hasAnswered = false; ///< Whether the server has answered an earlier call on this connection.
     bool isClosed = false;
 };
 
