Tests: Added odd entries among the registrations

What operators of similar systems saw: nodes that end, or stop following the list, on one entry that is deeply nested, or has a number or port out of range.

--- a/tests/gateway/test_knowledge.cpp
+++ b/tests/gateway/test_knowledge.cpp
@@ -112,6 +112,50 @@
     CHECK(fixture.requestStatus() == "503");
 }
 
+struct OddEntryCase {
+    const char* name;
+    std::string value;
+};
+
+const OddEntryCase oddEntryCases[] = {
+    { "very deeply nested lists", std::string(200'000, '[') + std::string(200'000, ']') },
+    { "very deeply nested objects", [] {
+         std::string text = R"({"backend":"app","address":"127.0.0.1:18398","capacity":6,"state":"ready","zone":)";
+         for (int depth = 0; depth < 100'000; ++depth)
+             text += R"({"a":)";
+         return text + "1" + std::string(100'001, '}');
+     }() },
+    { "nested without an end", std::string(200'000, '[') },
+    { "a capacity beyond every type", R"({"backend":"app","address":"127.0.0.1:18398","zone":"a","capacity":1e400,"state":"ready"})" },
+    { "a capacity beyond 64 bits", R"({"backend":"app","address":"127.0.0.1:18398","zone":"a","capacity":99999999999999999999,"state":"ready"})" },
+    { "a negative capacity", R"({"backend":"app","address":"127.0.0.1:18398","zone":"a","capacity":-9223372036854775808,"state":"ready"})" },
+    { "a start beyond 64 bits", R"({"backend":"app","address":"127.0.0.1:18398","zone":"a","capacity":6,"state":"ready","born":18446744073709551615})" },
+    { "a time to leave beyond every type", R"({"backend":"app","address":"127.0.0.1:18398","zone":"a","capacity":6,"state":"draining","leaves_ms":1e308})" },
+    { "a port out of range", R"({"backend":"app","address":"127.0.0.1:65536","zone":"a","capacity":6,"state":"ready"})" },
+    { "a negative port", R"({"backend":"app","address":"127.0.0.1:-1","zone":"a","capacity":6,"state":"ready"})" },
+    { "a port that is a long number", R"({"backend":"app","address":"127.0.0.1:99999999999999999999","zone":"a","capacity":6,"state":"ready"})" },
+    { "bytes that are no text", std::string("\xff\x00\x80{", 4) },
+    { "nothing", "" },
+};
+
+// Guards against an entry of another writer that ends the node, or ends its following of the others.
+TEST_CASE("an odd entry among the registrations names no server, and the others are followed on")
+{
+    for (const auto& row : oddEntryCases) {
+        CAPTURE(std::string(row.name));
+        SingleServerFixture fixture;
+        fixture.platform.put("servers/i-0", row.value); // Listed at the start.
+        REQUIRE(fixture.start());
+        fixture.platform.put("servers/i-7", row.value); // Delivered by the watch.
+        fixture.registerServer("i-2", "app", serverPort);
+        CHECK(fixture.runUntil([&] { return fixture.node->board().backendServers.value().contains("i-2"); }, 1s));
+        CHECK(fixture.node->board().backendServers.value().size() == 2);
+        fixture.platform.remove("servers/i-2");
+        CHECK(fixture.runUntil([&] { return !fixture.node->board().backendServers.value().contains("i-2"); }, 1s));
+        CHECK(fixture.requestStatus() == "200");
+    }
+}
+
 TEST_CASE("a server whose registration expired during an outage of the store is kept for a limited time")
 {
     SingleServerFixture fixture;
