--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -19,7 +19,6 @@
 constexpr auto recordPrefix = "primrosefork/"; ///< Prefix of all records of the nodes, read with one call at the start.
 constexpr auto peerKeyKey = "primrosefork/peer-key";
 constexpr auto nodesKey = "primrosefork/nodes";
-constexpr auto epochKey = "primrosefork/epoch"; ///< Written once an epoch of the store is settled, and lost with the next restoration.
 constexpr auto nodeCountStableTime = 3s; ///< Time for which the number of nodes must be unchanged before it is written to the store.
 constexpr std::uint32_t initialSequenceRange = 1U << 24U; ///< The first sequence number is drawn below this bound, so that an answer to an earlier process does not match a report of this one.
 constexpr std::size_t secretBytes = 32;
@@ -133,23 +132,24 @@
 {
     auto hasKey = false;
     StoreRevision quarantineRevision = 0;
-    this->nodeCountRevision = this->epochRevision = 0;
+    StoreEntry epochRecord;
+    this->nodeCountRevision = 0;
+    this->recordedNodeCount = 0;
     for (const auto& entry : listing.entries) {
         if (entry.key == peerKeyKey) {
             this->setKey(entry.value);
             hasKey = true;
         } else if (entry.key == nodesKey) {
             this->applyNodeCount(entry);
-        } else if (entry.key == epochKey) {
-            this->epochRevision = entry.revision;
-            this->recordedEpoch = std::strtoull(entry.value.c_str(), nullptr, 10);
-            this->epochs.settledRecordRead(this->recordedEpoch);
+        } else if (entry.key == settledEpochKey) {
+            epochRecord = entry;
         } else if (entry.key == quarantineKey) {
             quarantineRevision = entry.revision;
             if (!this->hasReadRecords)
                 this->quarantines.applyRecord(entry, EventLoop::now());
         }
     }
+    this->epochs.recordRead(epochRecord);
     if (this->hasReadRecords)
         this->quarantines.recordRestored(quarantineRevision);
     if (!hasKey)
@@ -164,22 +164,6 @@
     this->recordTimer.start(std::chrono::milliseconds(hash64(randomHex(8)) % static_cast<std::uint64_t>(maxRereadDelay.count())));
 }
 
-auto CoordinationController::recordEpoch() -> void
-{
-    const auto epoch = this->epochs.epoch();
-    if (epoch == this->recordedEpoch || BootClock::now() < this->epochs.certainFrom() || std::exchange(this->isRecording, true))
-        return;
-    this->store.compareAndSwap({ epochKey, this->epochRevision, std::to_string(epoch), 0 }, [this, epoch, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
-        if (!*alive)
-            return;
-        this->isRecording = false;
-        if (error)
-            return;
-        this->epochRevision = result.current.revision;
-        this->recordedEpoch = result.isSwapped ? epoch : std::strtoull(result.current.value.c_str(), nullptr, 10);
-    });
-}
-
 auto CoordinationController::createKey() -> void
 {
     // A key that was lost with a restoration of the store is written again.
@@ -263,7 +247,7 @@
         this->sumReports();
         this->updateObservers();
         this->recordNodeCount(this->liveNodeCount);
-        this->recordEpoch();
+        this->epochs.recordWhenSettled();
         this->quarantines.recordChanges(EventLoop::now());
         this->quotas.updateAccounts(this->nodeRecords, this->recordedNodeCount);
         this->partitionEngines();
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -77,7 +77,6 @@
     auto fetchRecords() -> void;
     auto applyRecords(const StoreListing&) -> void;
     auto storeRestored() -> void;
-    auto recordEpoch() -> void;
     auto createKey() -> void;
     auto setKey(const std::string& secret) -> void;
     auto applyNodeCount(const StoreEntry&) -> void;
@@ -120,8 +119,6 @@
     std::optional<PeerKeyring> keyring;
     std::string keySecret; ///< Secret of the key that the nodes share.
     bool hasReadRecords = false; ///< The records were read since the start.
-    StoreRevision epochRevision = 0; ///< Revision of the record of the store's epoch; 0 when there is none.
-    StoreEpoch recordedEpoch = 0; ///< The epoch in that record.
     NodeRecords nodeRecords;
     std::size_t liveNodeCount = 0; ///< Number of nodes that report; updated on the leader with each report of its own.
     std::map<std::string, double> totalDemand; ///< Quota units requested from all nodes per second, by workspace; updated with liveNodeCount.
--- a/src/gateway/storeepochmonitor.cpp
+++ b/src/gateway/storeepochmonitor.cpp
@@ -3,17 +3,26 @@
 #include "eventlog.h"
 #include "metrics.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace Primrosefork {
 
 StoreEpochMonitor::StoreEpochMonitor(KeyValueStore& store, Metrics& metrics, const EventLog& log)
-    : metrics(metrics)
+    : store(store)
+    , metrics(metrics)
     , log(log)
+    , isAlive(std::make_shared<bool>(true))
 {
     store.epochChanged.connect([this](StoreEpoch epoch) { this->epochSeen(epoch); });
 }
 
+StoreEpochMonitor::~StoreEpochMonitor()
+{
+    *this->isAlive = false;
+}
+
 auto StoreEpochMonitor::epochSeen(StoreEpoch epoch) -> void
 {
     if (epoch <= this->current)
@@ -27,12 +36,30 @@
     this->changed.emit(epoch);
 }
 
-auto StoreEpochMonitor::settledRecordRead(StoreEpoch settled) -> void
+auto StoreEpochMonitor::recordRead(const StoreEntry& entry) -> void
 {
-    if (settled == this->current)
+    this->recordRevision = entry.revision;
+    this->recordedEpoch = std::strtoull(entry.value.c_str(), nullptr, 10);
+    if (this->recordedEpoch == this->current)
         this->certainSince = {};
 }
 
+auto StoreEpochMonitor::recordWhenSettled() -> void
+{
+    const auto epoch = this->current;
+    if (epoch == this->recordedEpoch || BootClock::now() < this->certainSince || std::exchange(this->isRecording, true))
+        return;
+    this->store.compareAndSwap({ settledEpochKey, this->recordRevision, std::to_string(epoch), 0 }, [this, epoch, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+        if (!*alive)
+            return;
+        this->isRecording = false;
+        if (error)
+            return;
+        this->recordRevision = result.current.revision;
+        this->recordedEpoch = result.isSwapped ? epoch : std::strtoull(result.current.value.c_str(), nullptr, 10);
+    });
+}
+
 auto StoreEpochMonitor::dumpState() const -> nlohmann::json
 {
     const auto now = BootClock::now();
--- a/src/gateway/storeepochmonitor.h
+++ b/src/gateway/storeepochmonitor.h
@@ -5,6 +5,7 @@
 #include "statesource.h"
 
 #include <chrono>
+#include <memory>
 #include <sigc++/signal.h>
 
 namespace Primrosefork {
@@ -12,6 +13,8 @@
 class EventLog;
 class Metrics;
 
+constexpr auto settledEpochKey = "primrosefork/epoch"; ///< Key of the record of the last settled epoch, which is lost with the next restoration.
+
 /**
  * Follows the epochs of the store, which begin when it comes back from a copy that
  * lacks what was written last.
@@ -27,12 +30,16 @@
     static constexpr std::chrono::milliseconds settleTime { 2'000 }; ///< Time after the store's return in which what was lost is written again.
 
     StoreEpochMonitor(KeyValueStore&, Metrics&, const EventLog&);
+    ~StoreEpochMonitor() override;
 
     /** Notes that another node knows \a revision. */
     auto revisionSeen(StoreRevision revision) -> void { this->epochSeen(epochOf(revision)); }
 
-    /** Notes a record of the nodes in the store, by which the epoch \a settled began long ago. */
-    auto settledRecordRead(StoreEpoch settled) -> void;
+    /** Notes the record of the last settled epoch as the store has it; an \a entry without a revision when there is none. */
+    auto recordRead(const StoreEntry& entry) -> void;
+
+    /** Records the epoch in the store when it is settled, so that nodes which start later need not wait; called on the leader. */
+    auto recordWhenSettled() -> void;
 
     [[nodiscard]] auto epoch() const -> StoreEpoch { return this->current; }
 
@@ -48,11 +55,16 @@
 private:
     auto epochSeen(StoreEpoch) -> void;
 
+    KeyValueStore& store;
     Metrics& metrics;
     const EventLog& log;
     StoreEpoch current = 0;
     TimePoint seenAt; ///< Time at which this node first saw the epoch.
     TimePoint certainSince;
+    StoreRevision recordRevision = 0; ///< Revision of the record; 0 when there is none.
+    StoreEpoch recordedEpoch = 0; ///< Epoch in the record.
+    bool isRecording = false;
+    std::shared_ptr<bool> isAlive;
 };
 
 } // namespace Primrosefork
--- a/src/traffic/serverlimits.cpp
+++ b/src/traffic/serverlimits.cpp
@@ -83,7 +83,9 @@
 
 auto ServerLimits::granted(std::span<const ServerPermits> permits, TimePoint reportSent) -> void
 {
-    this->lastAnswer = std::max(this->lastAnswer, reportSent);
+    if (reportSent <= this->lastAnswer)
+        return;
+    this->lastAnswer = reportSent;
     for (const auto& entry : permits) {
         const auto found = this->states.find(entry.server);
         if (found != this->states.end() && found->second.perSecond > 0)
--- a/src/traffic/serverlimits.h
+++ b/src/traffic/serverlimits.h
@@ -63,7 +63,7 @@
      */
     auto learned(std::span<const LimitStatement> statements, bool complete, TimePoint moment) -> void;
 
-    /** Adds permits of the leader, which answered a report that was sent at \a reportSent. */
+    /** Adds permits of the leader, which answered a report that was sent at \a reportSent; answers that come twice or late are ignored. */
     auto granted(std::span<const ServerPermits> permits, TimePoint reportSent) -> void;
 
     /** Sets the number of nodes that share the limits. */
