--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -386,6 +386,8 @@
 class World:
     """A small deployment: store, platform API, engines and nodes."""
 
+    node_class = Node
+
     def __init__(self, case_folder):
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -400,7 +402,7 @@
             await engine.listen()
             await engine.register(self.store)
         self.engines = engines
-        self.nodes = [Node(f"node-{number + 1}", self.folder, self.store, self.cloud) for number in range(node_count)]
+        self.nodes = [self.node_class(f"node-{number + 1}", self.folder, self.store, self.cloud) for number in range(node_count)]
         for node in self.nodes:
             await node.start()
         end = time.monotonic() + 20
