--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,6 +9,8 @@
 import json
 import os
 import pathlib
+import random
+import shutil
 import signal
 import socket
 import sys
@@ -20,16 +22,21 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
-    """Returns a free TCP port of 127.0.0.1 whose UDP port is free, too."""
+    """Returns a port of 127.0.0.1 that is free for TCP and UDP, below those that the system gives to outgoing connections."""
     while True:
+        port = random.randrange(20_000, 32_000)
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
             return port
 
 
@@ -85,8 +92,8 @@
         self.server = None
 
     async def listen(self, port=0):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 22)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = port or free_port()
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, limit=1 << 22)
 
     @property
     def address(self):
@@ -420,6 +427,7 @@
         for node in self.nodes:
             if node.process:
                 await node.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(case_folder, play):
