Forwarding: Continued streams that their engine stopped for a move and that end with their connection

Cause: a move stops the run and closes its stream. For a stream without length or chunks the close is the regular end, too, and the move was looked at only when an attempt failed. Ruled out by the record of the case: that the engine ended the stream itself (it answers the move with a handle) and that the copy was refused (the other engine got no request).

A later attempt no longer carries the name of a copy that was not used.

Why this works: only the engine knows whether it stopped the run, and it says so in its answer to the move.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -25,7 +25,6 @@
 constexpr int serverWaitDivisor = 4; ///< The longest wait for a server is the route's objective divided by this.
 constexpr std::chrono::milliseconds noServerRetryDelay = 300ms; ///< Retry-After when no server is available; short, because engines start and leave within seconds.
 constexpr std::chrono::milliseconds moveMargin = 300ms; ///< Time that a move may have to wait before the engine shuts down.
-constexpr std::chrono::milliseconds unknownRemainingTime = 1h; ///< Assumed until the rate of a stream can be measured.
 constexpr std::chrono::milliseconds settlingTime = 500ms; ///< A server that crashes on a prompt may have sent its first events just before.
 constexpr int maxAttempts = 8; ///< Limits the attempts when servers refuse the request.
 
@@ -90,17 +89,18 @@
         this->giveUp();
 }
 
-auto ForwardRun::send(const BackendServer& server) -> void
+auto ForwardRun::send(const BackendServer& server, std::optional<std::string> copy) -> void
 {
     const auto now = EventLoop::now();
     if (this->details.deadline - now < minRemainingTime)
         return this->giveUp();
     ++this->attempts;
-    this->phase = this->eventCount > 0 ? Phase::Streaming : Phase::Sent;
+    this->phase = this->progress.eventCount() > 0 ? Phase::Streaming : Phase::Sent;
     this->attempt.emplace();
     this->attempt->server = server;
     this->attempt->sent = now;
-    this->attempt->isContinuation = this->copy.has_value();
+    this->attempt->copy = std::move(copy);
+    this->move = {};
     this->context.policy.requestSent(this->routingRequest(), server, now);
     this->context.servers.requestSent(server);
     CallHandlers handlers;
@@ -130,7 +130,7 @@
     if (server.kind == BackendKind::Engine)
         fields.priority = this->details.priority();
     fields.resumeAfter = this->lastEventId;
-    fields.kvCacheSource = this->copy;
+    fields.kvCacheSource = this->attempt->copy;
     BackendMessage message;
     message.method = head.method;
     message.target = head.target;
@@ -201,16 +201,15 @@
     }
     if (now - *current.firstEvent >= settlingTime)
         this->settle();
+    this->move.eventReceived(now);
     if (this->phase == Phase::Sent) {
         this->phase = Phase::Streaming;
         this->context.metrics.observe("first_event_seconds", now - this->details.received);
         this->exchange->beginStream(current.status, withoutHopHeaders(current.headers));
     }
-    if (this->eventCount == 0)
-        this->firstEvent = now;
     if (event.id)
         this->lastEventId = std::string(*event.id);
-    ++this->eventCount;
+    this->progress.eventForwarded(now);
     this->exchange->sendPiece(event.text);
 }
 
@@ -224,7 +223,12 @@
 {
     auto& current = *this->attempt;
     current.call.reset();
-    if (outcome == CallOutcome::Complete && current.isBrokenOff())
+    if (outcome == CallOutcome::Complete && current.isEventStream && current.endsWithConnection && this->move.isPending()) {
+        // A move that stops the run closes its stream, which then ends as a whole one does; only the result of the move tells them apart.
+        this->outcomeDuringMove = outcome;
+        return;
+    }
+    if (outcome == CallOutcome::Complete && (current.isBrokenOff() || this->wasStoppedByMove()))
         outcome = CallOutcome::Truncated;
     // The head of a response states whether the request was run, however long the rest is.
     if ((outcome == CallOutcome::Complete || outcome == CallOutcome::TooLarge) && current.reply.isNotRun)
@@ -286,21 +290,21 @@
 
 auto ForwardRun::attemptFailed(const ForwardAttempt& current, CallOutcome outcome) -> void
 {
-    if (this->isMoving) {
-        // A move stops the run at its engine before the result of the move arrives, which is still pending.
-        this->hasEndedDuringMove = true;
+    if (this->move.isPending()) {
+        // A move stops the run at its engine before the result of the move arrives.
+        this->outcomeDuringMove = outcome;
         return;
     }
-    if (this->copy && this->resumeFromCopy())
+    if (this->move.copy() && this->resumeFromCopy())
         return;
     const auto mayHaveRun = outcome != CallOutcome::NotSent;
     // A move that failed may have stopped the run at its engine.
-    if (!current.isSettled && !this->destination && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
+    if (!current.isSettled && !this->move.wasRequested() && (outcome == CallOutcome::Lost || outcome == CallOutcome::Truncated))
         this->context.prompts.attemptLost(this->details.service->name, this->details.fields.promptParts, current.server.id, EventLoop::now());
     const auto* execution = mayHaveRun ? "unknown" : "not sent";
     this->context.log.write(Event::AttemptFailed,
         { { "request", this->details.fields.requestId }, { "backend", current.server.id }, { "outcome", outcome == CallOutcome::TooLarge ? "too large" : execution },
-            { "status", std::to_string(current.status) }, { "events", std::to_string(this->eventCount) } });
+            { "status", std::to_string(current.status) }, { "events", std::to_string(this->progress.eventCount()) } });
     this->endAttempt(AttemptEnd::Failed);
     this->excluded.insert(current.server.id);
     if (mayHaveRun) {
@@ -314,19 +318,18 @@
 
 auto ForwardRun::serverLeaving(std::chrono::milliseconds timeLeft) -> void
 {
-    const auto canMove = this->phase == Phase::Streaming && !this->destination && this->details.service->engine && this->details.service->engine->canMoveRuns;
-    if (!canMove || this->remainingTime() < timeLeft - moveMargin || this->quarantineLeft())
+    const auto canMove = this->phase == Phase::Streaming && !this->move.wasRequested() && this->details.service->engine && this->details.service->engine->canMoveRuns;
+    if (!canMove || this->progress.remainingTime(this->details, EventLoop::now()) < timeLeft - moveMargin || this->quarantineLeft())
         return;
     auto excludedServers = this->excluded;
     excludedServers.insert(this->attempt->server.id);
     const auto* server = this->context.servers.chooseServer(this->details, excludedServers, EventLoop::now());
     if (!server)
         return;
-    this->destination = *server;
-    this->isMoving = true;
+    this->move.begin(*server);
     this->context.mover.move(this->attempt->server.address, this->details.fields.requestId, server->address,
-        [this, alive = this->isAlive](std::error_code error, const MoveResult& moved) {
-            if (*alive)
+        [this, alive = this->isAlive, number = this->attempts](std::error_code error, const MoveResult& moved) {
+            if (*alive && this->attempts == number)
                 this->moveEnded(error, moved);
         });
 }
@@ -336,49 +339,38 @@
     return this->context.prompts.quarantineLeft(this->details.service->name, this->details.fields.promptParts, EventLoop::now());
 }
 
-auto ForwardRun::remainingTime() const -> std::chrono::milliseconds
-{
-    const auto perEvent = std::max<std::int64_t>(1, this->details.service->engine->tokensPerEvent);
-    const auto events = this->details.fields.outputTokens / perEvent;
-    const auto receivedEvents = static_cast<std::int64_t>(this->eventCount);
-    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - this->firstEvent);
-    // The rate is measured from the first event, so a run with fewer than two events counts as just started.
-    return receivedEvents < 2 ? unknownRemainingTime : time * std::max<std::int64_t>(0, events - receivedEvents) / (receivedEvents - 1);
-}
-
 auto ForwardRun::moveEnded(std::error_code error, const MoveResult& moved) -> void
 {
-    this->isMoving = false;
+    const auto target = this->move.destination()->id;
+    this->move.end(error, moved, this->attempt->server, EventLoop::now());
     this->context.metrics.count(error ? "moves_total{outcome=\"failed\"}" : "moves_total{outcome=\"moved\"}");
     this->context.log.write(Event::RunMoved,
-        { { "request", this->details.fields.requestId }, { "from", this->attempt ? this->attempt->server.id : "" }, { "to", this->destination ? this->destination->id : "" },
-            { "outcome", error ? error.message() : (moved.isAtSource ? "destination full, copy kept at its engine" : "moved") }, { "events", std::to_string(this->eventCount) } });
+        { { "request", this->details.fields.requestId }, { "from", this->attempt->server.id }, { "to", target },
+            { "outcome", error ? error.message() : (moved.isAtSource ? "destination full, copy kept at its engine" : "moved") }, { "events", std::to_string(this->progress.eventCount()) },
+            { "stream", this->outcomeDuringMove ? "ended" : "open" } });
     if (this->phase == Phase::Over)
         return;
-    if (!error) {
-        this->copy = moved.kvCacheSource;
-        if (moved.isAtSource)
-            this->destination = this->attempt->server;
-    }
-    if (!std::exchange(this->hasEndedDuringMove, false))
-        return;
-    if (this->copy && this->resumeFromCopy())
-        return;
-    this->attemptFailed(*this->attempt, CallOutcome::Truncated);
+    if (const auto outcome = std::exchange(this->outcomeDuringMove, std::nullopt))
+        this->attemptEnded(*outcome);
+}
+
+auto ForwardRun::wasStoppedByMove() const -> bool
+{
+    if (!this->attempt->isEventStream || !this->attempt->endsWithConnection)
+        return false;
+    return this->move.copy() || (this->move.mayHaveStoppedRun() && !this->progress.hasAllEvents(this->details));
 }
 
 auto ForwardRun::resumeFromCopy() -> bool
 {
     const auto now = EventLoop::now();
-    if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->destination, now) || this->quarantineLeft())
+    if (this->details.deadline - now < minRemainingTime || !this->context.servers.mayResumeCopy(*this->move.destination(), now) || this->quarantineLeft())
         return false;
     this->countRun(*this->attempt);
     this->endAttempt(AttemptEnd::Cancelled);
-    const auto server = *this->destination;
-    this->send(server);
+    const auto server = *this->move.destination();
     // A copy can be resumed from only once.
-    this->copy.reset();
-    this->destination.reset();
+    this->send(server, this->move.copy());
     return true;
 }
 
@@ -386,7 +378,7 @@
 {
     const auto now = EventLoop::now();
     // A stream that was forwarded in part is resumed only if the route allows another run.
-    if (this->eventCount > 0 && !this->details.isRepeatable())
+    if (this->progress.eventCount() > 0 && !this->details.isRepeatable())
         return false;
     if (this->attempts >= maxAttempts || this->possibleRuns >= this->details.route->maxAttempts || this->details.deadline - now < minRemainingTime || this->quarantineLeft())
         return false;
@@ -471,7 +463,7 @@
     this->context.log.write(outcome.empty() ? Event::RequestAnswered : Event::RequestNotAnswered,
         { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "status", std::to_string(status) }, { "reason", reason }, { "connection", connectionEnd },
             { "backend", this->attempt ? this->attempt->server.id : "" }, { "ms", std::to_string(millisecondsSince(this->details.received).count()) },
-            { "attempts", std::to_string(this->attempts) }, { "runs", std::to_string(this->possibleRuns) }, { "events", std::to_string(this->eventCount) },
+            { "attempts", std::to_string(this->attempts) }, { "runs", std::to_string(this->possibleRuns) }, { "events", std::to_string(this->progress.eventCount()) },
             { "configuration", std::to_string(this->details.table->configuration().version) } });
 }
 
@@ -491,7 +483,7 @@
 auto ForwardRun::dumpState() const -> nlohmann::json
 {
     return { { "request", this->details.fields.requestId }, { "route", this->details.route->name }, { "age_ms", millisecondsSince(this->details.received).count() },
-        { "backend", this->attempt ? this->attempt->server.id : "" }, { "attempts", this->attempts }, { "events", this->eventCount } };
+        { "backend", this->attempt ? this->attempt->server.id : "" }, { "attempts", this->attempts }, { "events", this->progress.eventCount() } };
 }
 
 } // namespace Primrosefork
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -2,6 +2,8 @@
 
 #include "eventsplitter.h"
 #include "forwardcontext.h"
+#include "runmove.h"
+#include "streamprogress.h"
 
 #include <functional>
 #include <memory>
@@ -25,7 +27,7 @@
     bool isEventStream = false;
     bool endsWithConnection = false; ///< Whether the response has neither a length nor chunks.
     std::optional<EventLoop::TimePoint> firstEvent;
-    bool isContinuation = false; ///< Whether the attempt continues the run of an earlier one from a copy.
+    std::optional<std::string> copy; ///< Name of the copy from which the attempt continues the run of an earlier one.
     bool isSettled = false; ///< Whether the answer has gone on for long enough to show that the prompt does not crash the server.
 
     /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
@@ -76,7 +78,7 @@
         Over,
     };
 
-    auto send(const BackendServer&) -> void;
+    auto send(const BackendServer&, std::optional<std::string> copy = {}) -> void;
     auto makeMessage(const BackendServer&) const -> BackendMessage;
     [[nodiscard]] auto routingRequest() const -> RoutingRequest;
     auto headReceived(const MessageHead&, const ReplyFields&) -> void;
@@ -88,12 +90,14 @@
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
     auto attemptFailed(const ForwardAttempt&, CallOutcome) -> void;
-    auto countRun(const ForwardAttempt& current) -> void { this->possibleRuns += current.isContinuation ? 0 : 1; }
+    auto countRun(const ForwardAttempt& current) -> void { this->possibleRuns += current.copy ? 0 : 1; }
     auto retry(bool usesBudget) -> bool;
     auto moveEnded(std::error_code, const MoveResult&) -> void;
     auto resumeFromCopy() -> bool;
+
+    /** Returns whether a stream that ended with its connection ended because a move stopped its run. */
+    [[nodiscard]] auto wasStoppedByMove() const -> bool;
     [[nodiscard]] auto quarantineLeft() const -> std::optional<std::chrono::milliseconds>;
-    [[nodiscard]] auto remainingTime() const -> std::chrono::milliseconds;
     auto giveUp() -> void;
     auto forwardResponse(const ForwardAttempt&) -> void;
     auto refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void;
@@ -113,12 +117,9 @@
     std::set<std::string> excluded; ///< Servers that failed or refused this request.
     std::shared_ptr<const std::string> body;
     std::optional<std::string> lastEventId; ///< Id of the last event that the caller has, from an earlier stream or from this one.
-    std::size_t eventCount = 0;
-    EventLoop::TimePoint firstEvent;
-    std::optional<BackendServer> destination; ///< Engine to which the run is being moved, or which holds its copy.
-    std::optional<std::string> copy; ///< Name of the copied memory of the run, from which the destination resumes it.
-    bool isMoving = false; ///< Whether a move was requested and its result is pending.
-    bool hasEndedDuringMove = false; ///< Whether the attempt ended while its move was in progress.
+    StreamProgress progress;
+    RunMove move; ///< Move of the current attempt's run.
+    std::optional<CallOutcome> outcomeDuringMove; ///< How the attempt ended, if it ended while its move was pending.
     int attempts = 0;
     int possibleRuns = 0; ///< Number of attempts in which a server may have run the request; one run with its continuations counts once.
     bool hasReportedStart = false;
--- a/src/systems/runmover.h
+++ b/src/systems/runmover.h
@@ -17,6 +17,7 @@
     std::string kvCacheSource;
 
     bool isAtSource = false; ///< Whether the copy stayed at the source, which stopped the run, because the destination had no room.
+    bool mayHaveStoppedRun = false; ///< After an error, whether the source may have stopped the run nevertheless.
 };
 
 /**
@@ -30,7 +31,8 @@
 
     /**
      * Stops the run of \a requestId at \a source and copies its KV cache to \a destination.
-     * After an error there is no copy: the run continues at \a source, or has ended.
+     * After an error there is no copy that can be used: the run continues at \a source or has ended,
+     * unless the result says that it may have been stopped.
      * The handler may be called within this call.
      */
     virtual auto move(const Address& source, const std::string& requestId, const Address& destination, Handler) -> void = 0;
--- a/tests/forwarding/attemptworld.h
+++ b/tests/forwarding/attemptworld.h
@@ -25,11 +25,14 @@
     WholeEvent,
     HalfEvent,
     StreamEnd,
+    StreamClosed, ///< The server closes the connection of a run that a move stopped, which ends a stream without length or chunks like a whole one.
     Truncated,
     ServerLeaving,
+    RunStopped, ///< The server stops the run for the move, before its result.
     Moved,
     MovedToSource,
-    MoveFailed,
+    MoveFailed, ///< The server refuses the move.
+    MoveUnanswered, ///< The result of the move is lost.
     QuarantineBegun,
     DeadlinePassed,
     CallerGone,
--- a/tests/forwarding/test_attemptorders.cpp
+++ b/tests/forwarding/test_attemptorders.cpp
@@ -1,4 +1,5 @@
 #include "attemptworld.h"
+#include "errors.h"
 #include "eventlog.h"
 #include "forwardrun.h"
 #include "metrics.h"
@@ -69,7 +70,8 @@
         request.id = 1;
         request.fields.requestId = "r1";
         request.fields.promptTokens = 100;
-        request.fields.outputTokens = 1'000;
+        request.fields.hasTokenCounts = true;
+        request.fields.outputTokens = streamEvents;
         static const auto table = std::make_shared<const RouteTable>(TrafficConfiguration {});
         request.table = table;
         request.route = &route;
@@ -123,8 +125,12 @@
 
 auto Request::isPossible(Step step) const -> bool
 {
-    if (this->world.moveHandler && (step == Step::Moved || step == Step::MovedToSource || step == Step::MoveFailed))
-        return step == Step::MoveFailed || (this->world.moved->mayRun && !this->world.moved->isFinished);
+    if (this->world.moveHandler && step >= Step::RunStopped && step <= Step::MoveUnanswered) {
+        const auto& moved = *this->world.moved;
+        if (step == Step::MoveFailed || step == Step::MoveUnanswered)
+            return step == Step::MoveUnanswered || !moved.isStopped;
+        return moved.mayRun && !moved.isFinished && (step != Step::RunStopped || !moved.isStopped);
+    }
     if (this->hasEnded())
         return false;
     switch (step) {
@@ -150,6 +156,8 @@
     }
     if (step == Step::StreamEnd)
         return side.nextEvent > streamEvents && !side.isStopped;
+    if (step == Step::StreamClosed)
+        return side.isStopped && !side.hasHalfEvent && side.nextEvent <= streamEvents;
     const auto isEvent = step == Step::WholeEvent || (step == Step::HalfEvent && !side.hasHalfEvent);
     return step == Step::Truncated || (isEvent && side.nextEvent <= streamEvents);
 }
@@ -213,6 +221,8 @@
     case Step::StreamEnd:
         side.isFinished = true;
         return this->finishCall(side, CallOutcome::Complete);
+    case Step::StreamClosed:
+        return this->finishCall(side, CallOutcome::Complete);
     default:
         return this->finishCall(side, CallOutcome::Truncated);
     }
@@ -220,7 +230,13 @@
 
 auto Request::applyToMove(Step step) -> void
 {
+    if (step == Step::RunStopped) {
+        this->world.moved->isStopped = true;
+        return;
+    }
     const auto handler = std::exchange(this->world.moveHandler, {});
+    if (step == Step::MoveUnanswered)
+        return handler(Error::Timeout, { "", false, true });
     if (step == Step::MoveFailed)
         return handler(std::make_error_code(std::errc::connection_refused), {});
     this->world.moved->isStopped = true;
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -65,6 +65,32 @@
         bufferevent_write(stream, bytes.data(), bytes.size());
 }
 
+auto ScriptedServer::connectionsOf(const std::string& start) const -> std::vector<bufferevent*>
+{
+    std::vector<bufferevent*> found;
+    for (const auto& [stream, connection] : this->connections) {
+        if (connection.lastRequest.starts_with(start))
+            found.push_back(stream);
+    }
+    return found;
+}
+
+auto ScriptedServer::sendTo(const std::string& start, const std::string& bytes) -> void
+{
+    for (auto* stream : this->connectionsOf(start))
+        bufferevent_write(stream, bytes.data(), bytes.size());
+}
+
+auto ScriptedServer::closeConnectionsOf(const std::string& start) -> void
+{
+    for (auto* stream : this->connectionsOf(start)) {
+        if (evbuffer_get_length(bufferevent_get_output(stream)) == 0)
+            this->close(stream);
+        else
+            this->closeAfterOutput(stream);
+    }
+}
+
 auto ScriptedServer::accepted(int socket) -> void
 {
     auto* stream = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
@@ -94,6 +120,7 @@
     evbuffer_drain(buffer, size);
     for (auto requestSize = completeRequestSize(input); requestSize > 0; requestSize = completeRequestSize(input)) {
         this->requests.push_back(input.substr(0, requestSize));
+        this->connections[stream].lastRequest = this->requests.back();
         input.erase(0, requestSize);
         const auto scripted = this->script(this->requests.back());
         this->answer(stream, scripted);
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -51,6 +51,12 @@
     /** Sends \a bytes on all connections, like a stream that goes on. */
     auto sendToAll(const std::string& bytes) -> void;
 
+    /** Sends \a bytes on the connections whose last request begins with \a start. */
+    auto sendTo(const std::string& start, const std::string& bytes) -> void;
+
+    /** Closes the connections whose last request begins with \a start, after what was sent on them. */
+    auto closeConnectionsOf(const std::string& start) -> void;
+
     /** All requests received so far, with head and body. */
     std::vector<std::string> requests;
 
@@ -63,12 +69,14 @@
 private:
     struct Connection {
         std::string input; ///< Received bytes of incomplete requests.
+        std::string lastRequest;
         std::string repeated; ///< Bytes that are sent again and again.
         std::deque<LaterBytes> later;
         std::unique_ptr<Timer> timer;
     };
 
     auto accepted(int socket) -> void;
+    [[nodiscard]] auto connectionsOf(const std::string& start) const -> std::vector<bufferevent*>;
     auto readable(bufferevent*) -> void;
     auto written(bufferevent*) -> void;
     auto answer(bufferevent*, const ScriptedAnswer&) -> void;
