Settings: Read durations, sizes and numbers of the store's documents that are fractions

Cause: a duration was a whole number and a unit, in ten settings; the platform writes 7.5 or 8.0 before the unit. The same held for the numbers of the operators' configuration (not applied) and of registrations (server left out).

Change: fractions are read, and rounded to the side that keeps the bound: down, up for the window of second attempts and the heartbeat. The length of an accounting window is kept to the nanosecond, since windows are numbered from 1970. In documents, limits for which 0 means none stay above 0; weights and quotas are kept as written. The shortest grace, windows and report time are 100 ms.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -377,7 +377,7 @@
             continue;
         const auto found = this->totalDemand.find(workspace->name);
         const auto total = found == this->totalDemand.end() ? 0 : found->second;
-        const auto quota = static_cast<double>(std::max<std::int64_t>(1, workspace->quota.perSecond));
+        const auto quota = std::max(1.0, workspace->quota.perSecond);
         const auto equalPart = std::max(minEqualPart, 1 - total / quota);
         const auto demandPart = total > 0 ? std::min(1.0, entry.requestedPerSecond / total) : 0;
         answer.shares.push_back({ workspace->name, equalPart / static_cast<double>(nodes) + (1 - equalPart) * demandPart });
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -42,20 +42,30 @@
 
 auto readBounds(JsonReader& reader, GatewayBounds& bounds) -> void
 {
+    using Rounding = JsonReader::Rounding;
     reader.duration("drain", bounds.drain, 100ms, 10min);
-    reader.duration("stop_grace", bounds.stopGrace, 1s, 1h);
+    reader.duration("stop_grace", bounds.stopGrace, 100ms, 1h);
     reader.duration("configuration", bounds.configuration, 100ms, 10min);
     reader.duration("revocation", bounds.revocation, 100ms, 10min);
     reader.duration("leadership", bounds.leadership, 1s, 10min);
-    reader.duration("usage_window", bounds.usageWindow, 1s, 1h);
-    reader.duration("usage_due", bounds.usageDue, 1s, 1h);
-    reader.duration("attempt_window", bounds.attemptWindow, 1s, 1h);
+    reader.duration("usage_window", bounds.usageWindow, 100ms, 1h);
+    reader.duration("usage_due", bounds.usageDue, 100ms, 1h);
+    reader.duration("attempt_window", bounds.attemptWindow, 100ms, 1h, Rounding::Up);
     reader.number("attempt_ratio", bounds.attemptRatio, 0, 1);
     reader.number("attempt_slack", bounds.attemptSlack, 0, 1'000'000);
-    reader.duration("quota_window", bounds.quotaWindow, 1s, 1h);
+    reader.duration("quota_window", bounds.quotaWindow, 100ms, 1h);
     reader.number("quota_excess", bounds.quotaExcess, 0, 1);
     reader.number("quota_slack", bounds.quotaSlack, 0, 1'000'000'000);
-    reader.duration("heartbeat", bounds.heartbeat, 100ms, 10min);
+    reader.duration("heartbeat", bounds.heartbeat, 100ms, 10min, Rounding::Up);
+}
+
+/** Returns \a duration in milliseconds, as a whole number where it is one. */
+auto milliseconds(std::chrono::nanoseconds duration) -> nlohmann::json
+{
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+    if (whole == duration)
+        return whole.count();
+    return std::chrono::duration<double, std::milli>(duration).count();
 }
 
 auto isKnownLevel(const std::string& level) -> bool
@@ -108,7 +118,7 @@
                 { "configuration", bounds.configuration.count() },
                 { "revocation", bounds.revocation.count() },
                 { "leadership", bounds.leadership.count() },
-                { "usage_window", bounds.usageWindow.count() },
+                { "usage_window", milliseconds(bounds.usageWindow) },
                 { "usage_due", bounds.usageDue.count() },
                 { "attempt_window", bounds.attemptWindow.count() },
                 { "attempt_ratio", bounds.attemptRatio },
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -21,7 +21,7 @@
     std::chrono::milliseconds configuration { 2'000 }; ///< Time within which a change of the configuration applies on every node.
     std::chrono::milliseconds revocation { 5'000 }; ///< Time within which every node refuses a revoked credential.
     std::chrono::milliseconds leadership { 3'000 }; ///< Duration of the leader's lease.
-    std::chrono::milliseconds usageWindow { 5'000 }; ///< Length of an accounting window.
+    std::chrono::nanoseconds usageWindow { std::chrono::seconds(5) }; ///< Length of an accounting window; windows are numbered from 1970, so a rounded length would shift them all.
     std::chrono::milliseconds usageDue { 10'000 }; ///< Time after the end of an accounting window by which its usage must be reported.
     std::chrono::milliseconds attemptWindow { 10'000 }; ///< Length of the window over which second attempts are limited.
     double attemptRatio = 0.2; ///< Second attempts per request, over all nodes.
--- a/src/libprimrosefork/jsonreader.cpp
+++ b/src/libprimrosefork/jsonreader.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
-#include <optional>
 #include <utility>
 
 namespace Primrosefork {
@@ -19,36 +19,38 @@
 constexpr std::array durationUnits { Unit { "ms", 1 }, Unit { "s", 1000 }, Unit { "m", 60'000 }, Unit { "h", 3'600'000 } };
 constexpr std::array sizeUnits { Unit { "B", 1 }, Unit { "KiB", 1024 }, Unit { "MiB", 1'048'576 } };
 
-/** Returns the product, or the limit of its type on whose side it is out of range; \a factor is above zero. */
-auto limitedProduct(std::int64_t count, std::int64_t factor) -> std::int64_t
-{
-    using Limits = std::numeric_limits<std::int64_t>;
-    if (count > Limits::max() / factor)
-        return Limits::max();
-    return count < Limits::min() / factor ? Limits::min() : count * factor;
-}
-
 auto hasControlCharacter(const std::string& text) -> bool
 {
     return std::any_of(text.begin(), text.end(), [](unsigned char letter) { return letter < ' ' || letter == '\x7f'; });
 }
 
+/** Returns the number in \a text, which may be a fraction, in multiples of the factor one, or nothing without a number or unit. */
 template <typename Units>
-auto parseQuantity(const std::string& text, const Units& units) -> std::optional<std::int64_t>
+auto parseQuantity(const std::string& text, const Units& units) -> std::optional<double>
 {
-    std::int64_t count = 0;
+    double count = 0;
     const auto* last = text.data() + text.size();
     const auto [end, error] = std::from_chars(text.data(), last, count);
-    if (error != std::errc {} || end == text.data())
+    if (error != std::errc {} || !std::isfinite(count))
         return std::nullopt;
     const std::string_view suffix(end, static_cast<std::size_t>(last - end));
     for (const auto& unit : units) {
         if (suffix == unit.name)
-            return limitedProduct(count, unit.factor);
+            return count * static_cast<double>(unit.factor);
     }
     return std::nullopt;
 }
 
+/** Returns \a number as a whole one; a difference as small as that between a decimal fraction and its binary form does not count. */
+auto roundTo(double number, JsonReader::Rounding rounding) -> std::int64_t
+{
+    constexpr double tolerance = 1e-6;
+    const auto nearest = std::round(number);
+    if (std::abs(number - nearest) < tolerance)
+        return static_cast<std::int64_t>(nearest);
+    return static_cast<std::int64_t>(rounding == JsonReader::Rounding::Up ? std::ceil(number) : std::floor(number));
+}
+
 template <typename Number>
 auto rangeMessage(Number minimum, Number maximum, const std::string& unit) -> std::string
 {
@@ -139,20 +141,38 @@
     }
 }
 
-auto JsonReader::duration(const std::string& key, std::chrono::milliseconds& value,
-    std::chrono::milliseconds minimum, std::chrono::milliseconds maximum) -> void
+auto JsonReader::readDuration(const std::string& key, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum) -> std::optional<double>
 {
     const auto* field = this->find(key);
     if (!field)
-        return;
-    if (field->is_number())
-        return this->report(key, "missing unit, write a duration as \"250ms\", \"5s\", \"2m\" or \"1h\"");
+        return std::nullopt;
+    if (field->is_number()) {
+        this->report(key, "missing unit, write a duration as \"250ms\", \"5s\", \"2m\" or \"1h\"");
+        return std::nullopt;
+    }
     const auto parsed = field->is_string() ? parseQuantity(field->get<std::string>(), durationUnits) : std::nullopt;
-    if (!parsed)
-        return this->report(key, "expected a duration such as \"250ms\", \"5s\", \"2m\" or \"1h\"");
-    value = std::chrono::milliseconds(*parsed);
-    if (value < minimum || value > maximum)
-        this->report(key, rangeMessage(minimum.count(), maximum.count(), " ms"));
+    if (!parsed) {
+        this->report(key, "expected a duration such as \"250ms\", \"5s\", \"2m\" or \"1h\"");
+        return std::nullopt;
+    }
+    if (*parsed >= static_cast<double>(minimum.count()) && *parsed <= static_cast<double>(maximum.count()))
+        return parsed;
+    this->report(key, rangeMessage(minimum.count(), maximum.count(), " ms"));
+    return std::nullopt;
+}
+
+auto JsonReader::duration(const std::string& key, std::chrono::milliseconds& value,
+    std::chrono::milliseconds minimum, std::chrono::milliseconds maximum, Rounding rounding) -> void
+{
+    if (const auto milliseconds = this->readDuration(key, minimum, maximum))
+        value = std::chrono::milliseconds(roundTo(*milliseconds, rounding));
+}
+
+auto JsonReader::duration(const std::string& key, std::chrono::nanoseconds& value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum) -> void
+{
+    constexpr double nanosecondsPerMillisecond = 1e6;
+    if (const auto milliseconds = this->readDuration(key, minimum, maximum))
+        value = std::chrono::nanoseconds(roundTo(*milliseconds * nanosecondsPerMillisecond, Rounding::Down));
 }
 
 auto JsonReader::size(const std::string& key, std::size_t& value, std::size_t minimum, std::size_t maximum) -> void
@@ -165,9 +185,9 @@
     const auto parsed = field->is_string() ? parseQuantity(field->get<std::string>(), sizeUnits) : std::nullopt;
     if (!parsed || *parsed < 0)
         return this->report(key, "expected a size such as \"512B\", \"64KiB\" or \"1MiB\"");
-    value = static_cast<std::size_t>(*parsed);
-    if (value < minimum || value > maximum)
-        this->report(key, rangeMessage(minimum, maximum, " B"));
+    if (*parsed < static_cast<double>(minimum) || *parsed > static_cast<double>(maximum))
+        return this->report(key, rangeMessage(minimum, maximum, " B"));
+    value = static_cast<std::size_t>(roundTo(*parsed, Rounding::Down));
 }
 
 auto JsonReader::address(const std::string& key, Address& value) -> void
--- a/src/libprimrosefork/jsonreader.h
+++ b/src/libprimrosefork/jsonreader.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,6 +31,12 @@
         Ignore,
     };
 
+    /** How a duration that is no whole number of its unit is rounded. */
+    enum class Rounding {
+        Down,
+        Up,
+    };
+
     JsonReader(const nlohmann::json& object, std::string place, Findings&, UnknownFields = UnknownFields::Report);
 
     [[nodiscard]] auto has(const std::string& key) const -> bool;
@@ -44,11 +51,15 @@
     auto optionalInteger(const std::string& key, std::int64_t& value, std::int64_t minimum, std::int64_t maximum) -> void;
     auto number(const std::string& key, double& value, double minimum, double maximum) -> void;
 
-    /** Reads a duration with its unit, such as "250ms", "5s", "2m" or "1h". */
+    /** Reads a duration with its unit, such as "250ms", "7.5s", "2m" or "1h". */
     auto duration(const std::string& key, std::chrono::milliseconds& value,
+        std::chrono::milliseconds minimum, std::chrono::milliseconds maximum, Rounding = Rounding::Down) -> void;
+
+    /** Reads a duration whose multiples have to be exact. */
+    auto duration(const std::string& key, std::chrono::nanoseconds& value,
         std::chrono::milliseconds minimum, std::chrono::milliseconds maximum) -> void;
 
-    /** Reads a size with its unit, such as "512B", "64KiB" or "1MiB", and sets \a value in bytes. */
+    /** Reads a size with its unit, such as "512B", "64KiB" or "1.5MiB", and sets \a value in bytes, rounded down. */
     auto size(const std::string& key, std::size_t& value, std::size_t minimum, std::size_t maximum) -> void;
 
     auto address(const std::string& key, Address& value) -> void;
@@ -76,6 +87,8 @@
     auto finish() -> void;
 
 private:
+    /** Returns the duration at \a key in milliseconds, or nothing when there is none in the range. */
+    auto readDuration(const std::string& key, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum) -> std::optional<double>;
     auto find(const std::string& key) -> const nlohmann::json*;
     auto require(const std::string& key) -> const nlohmann::json*;
     auto readObject(const nlohmann::json& value, const std::string& place,
--- a/src/traffic/quotaledger.cpp
+++ b/src/traffic/quotaledger.cpp
@@ -28,12 +28,12 @@
 
 auto QuotaLedger::open(const TrafficWorkspace& workspace, TimePoint now) -> void
 {
-    this->accounts[workspace.name] = { 0, static_cast<double>(workspace.quota.perSecond), now };
+    this->accounts[workspace.name] = { 0, workspace.quota.perSecond, now };
 }
 
 auto QuotaLedger::applyRecentUse(const TrafficWorkspace& workspace, const RecentUse& use, double reportedFraction, TimePoint now) -> void
 {
-    const auto perSecond = static_cast<double>(workspace.quota.perSecond);
+    const auto perSecond = workspace.quota.perSecond;
     const auto capacity = ledgerBurstFraction * allowedBurst(this->tolerance, workspace.quota);
     auto& account = this->accounts[workspace.name];
     this->refill(account, now);
@@ -68,7 +68,7 @@
 {
     auto& account = this->accounts[workspace.name];
     this->refill(account, now);
-    account.perSecond = static_cast<double>(workspace.quota.perSecond);
+    account.perSecond = workspace.quota.perSecond;
     const auto capacity = ledgerBurstFraction * allowedBurst(this->tolerance, workspace.quota);
     account.level = std::min(account.level, capacity);
     // A request that is larger than the bucket is granted when the bucket is full, and leaves its level negative.
--- a/src/traffic/quotalimiter.cpp
+++ b/src/traffic/quotalimiter.cpp
@@ -49,7 +49,7 @@
 
 auto QuotaLimiter::refill(Bucket& bucket, const WorkspaceQuota& quota, TimePoint now) -> double
 {
-    const auto perSecond = static_cast<double>(quota.perSecond);
+    const auto perSecond = quota.perSecond;
     const auto rate = this->shareOf(bucket, now) * perSecond;
     // With the level limited to the capacity, no window has more grants than the capacity and the refill during the window.
     bucket.capacity = ownBurstFraction * this->shareOf(bucket, now) * allowedBurst(this->tolerance, quota);
--- a/src/traffic/routetable.cpp
+++ b/src/traffic/routetable.cpp
@@ -52,11 +52,10 @@
 
 auto serviceFor(const TrafficRoute& route, double point) -> const std::string&
 {
-    const auto total = std::accumulate(route.shares.begin(), route.shares.end(), std::int64_t { 0 },
-        [](std::int64_t sum, const RouteShare& share) { return sum + share.weight; });
-    auto rest = point * static_cast<double>(total);
+    const auto total = std::accumulate(route.shares.begin(), route.shares.end(), 0.0, [](double sum, const RouteShare& share) { return sum + share.weight; });
+    auto rest = point * total;
     for (const auto& share : route.shares) {
-        rest -= static_cast<double>(share.weight);
+        rest -= share.weight;
         if (rest < 0)
             return share.service;
     }
--- a/src/traffic/trafficconfiguration.h
+++ b/src/traffic/trafficconfiguration.h
@@ -20,7 +20,7 @@
 /** A service that a route may use, and its weight among the route's services. */
 struct RouteShare {
     std::string service;
-    std::int64_t weight = 1; ///< Share of the route's requests, relative to the weights of the other services.
+    double weight = 1; ///< Share of the route's requests, relative to the weights of the other services.
 };
 
 /**
@@ -77,8 +77,8 @@
 
 /** Tokens or requests that a workspace may use over time. */
 struct WorkspaceQuota {
-    std::int64_t perSecond = 0; ///< Tokens or requests that may be used per second; 0 is no limit.
-    std::int64_t burst = 0; ///< Tokens or requests that may be used at once in addition.
+    double perSecond = 0; ///< Tokens or requests that may be used per second; 0 is no limit.
+    double burst = 0; ///< Tokens or requests that may be used at once in addition.
     bool countsTokens = false; ///< The quota counts tokens instead of requests.
     std::int64_t defaultRequestTokens = 1; ///< Tokens that are charged for a request without token counts.
 };
--- a/src/traffic/usageledger.cpp
+++ b/src/traffic/usageledger.cpp
@@ -8,7 +8,7 @@
 
 } // namespace
 
-UsageLedger::UsageLedger(std::chrono::milliseconds windowLength)
+UsageLedger::UsageLedger(std::chrono::nanoseconds windowLength)
     : windowLength(windowLength)
 {
 }
@@ -27,7 +27,7 @@
 
 auto UsageLedger::endOf(UsageWindow window) const -> WallTime
 {
-    return (window + 1) * this->windowLength;
+    return std::chrono::ceil<WallTime>((window + 1) * this->windowLength);
 }
 
 } // namespace Primrosefork
--- a/src/traffic/usageledger.h
+++ b/src/traffic/usageledger.h
@@ -21,7 +21,7 @@
 public:
     using WallTime = std::chrono::milliseconds; ///< Time since 1970.
 
-    explicit UsageLedger(std::chrono::milliseconds windowLength);
+    explicit UsageLedger(std::chrono::nanoseconds windowLength);
 
     /** Counts a request of \a workspace that began to run at \a at. */
     auto requestBegan(const std::string& workspace, WallTime at) -> void;
@@ -36,7 +36,7 @@
     [[nodiscard]] auto windows() const -> const std::map<UsageWindow, UsageCounts>& { return this->counts; }
 
 private:
-    std::chrono::milliseconds windowLength;
+    std::chrono::nanoseconds windowLength;
     std::map<UsageWindow, UsageCounts> counts;
 };
 
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <functional>
 #include <nlohmann/json.hpp>
 
 using namespace Primrosefork;
@@ -35,6 +36,53 @@
     CHECK_FALSE(isGatewaySettings("[]"));
 }
 
+/** A bound whose number is a fraction, with the bound that follows. */
+struct FractionCase {
+    const char* bound;
+    const char* text;
+    std::function<std::chrono::nanoseconds(const GatewayBounds&)> value;
+    std::chrono::nanoseconds expected;
+};
+
+const FractionCase fractionCases[] = {
+    { "drain", "2000.0ms", [](const auto& bounds) { return bounds.drain; }, 2s },
+    { "drain", "1999.9ms", [](const auto& bounds) { return bounds.drain; }, 1'999ms },
+    { "stop_grace", "7.5s", [](const auto& bounds) { return bounds.stopGrace; }, 7'500ms },
+    { "stop_grace", "8.0s", [](const auto& bounds) { return bounds.stopGrace; }, 8s },
+    { "stop_grace", "0.5s", [](const auto& bounds) { return bounds.stopGrace; }, 500ms },
+    { "stop_grace", "1.0005s", [](const auto& bounds) { return bounds.stopGrace; }, 1s },
+    { "stop_grace", "1.1s", [](const auto& bounds) { return bounds.stopGrace; }, 1'100ms },
+    { "configuration", "1500.7ms", [](const auto& bounds) { return bounds.configuration; }, 1'500ms },
+    { "revocation", "5e3ms", [](const auto& bounds) { return bounds.revocation; }, 5s },
+    { "revocation", "4999.5ms", [](const auto& bounds) { return bounds.revocation; }, 4'999ms },
+    { "leadership", "3000.0ms", [](const auto& bounds) { return bounds.leadership; }, 3s },
+    { "leadership", "2999.99ms", [](const auto& bounds) { return bounds.leadership; }, 2'999ms },
+    { "usage_window", "2.5s", [](const auto& bounds) { return bounds.usageWindow; }, 2'500ms },
+    { "usage_window", "1.0000004s", [](const auto& bounds) { return bounds.usageWindow; }, 1'000'000'400ns },
+    { "usage_due", "9.9s", [](const auto& bounds) { return bounds.usageDue; }, 9'900ms },
+    { "attempt_window", "10.00001s", [](const auto& bounds) { return bounds.attemptWindow; }, 10'001ms },
+    { "attempt_window", "4.35s", [](const auto& bounds) { return bounds.attemptWindow; }, 4'350ms },
+    { "quota_window", "7.25s", [](const auto& bounds) { return bounds.quotaWindow; }, 7'250ms },
+    { "heartbeat", "1200.0ms", [](const auto& bounds) { return bounds.heartbeat; }, 1'200ms },
+    { "heartbeat", "1200.1ms", [](const auto& bounds) { return bounds.heartbeat; }, 1'201ms },
+};
+
+// Guards against a process that does not start because a bound is a fraction, or a whole number that is written as one.
+TEST_CASE("bounds may be fractions and are rounded to their safe side")
+{
+    for (const auto& row : fractionCases) {
+        CAPTURE(row.bound);
+        CAPTURE(row.text);
+        auto json = validSettings();
+        json["bounds"][row.bound] = row.text;
+        Findings findings;
+        const auto settings = parseGatewaySettings(json.dump(), findings);
+        INFO(formatFindings(findings));
+        CHECK(findings.empty());
+        CHECK(row.value(settings.bounds) == row.expected);
+    }
+}
+
 struct InvalidCase {
     const char* name;
     const char* pointer;
@@ -45,6 +93,10 @@
 const InvalidCase invalidCases[] = {
     { "an invalid address", "/listen/callers", "host:1", "/listen/callers" },
     { "a duration without a unit", "/bounds/drain", 3, "/bounds/drain" },
+    { "a duration that is no number", "/bounds/drain", "nans", "/bounds/drain" },
+    { "a duration without end", "/bounds/drain", "infs", "/bounds/drain" },
+    { "a duration with two points", "/bounds/drain", "1.5.5s", "/bounds/drain" },
+    { "a duration beyond the range", "/bounds/drain", "1e300s", "/bounds/drain" },
     { "a ratio above one", "/bounds/attempt_ratio", 2, "/bounds/attempt_ratio" },
     { "an unknown field", "/bounds/colour", "red", "/bounds/colour" },
     { "an unknown log level", "/log_level", "loud", "/log_level" },
--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -1,6 +1,9 @@
 #include "documents.h"
 
 #include <doctest/doctest.h>
+#include <functional>
+#include <string>
+#include <string_view>
 
 using namespace Primrosefork;
 using namespace std::chrono_literals;
@@ -73,6 +76,60 @@
     }
 }
 
+/** A number of the configuration that is written as a fraction. */
+struct FractionCase {
+    const char* name;
+    const char* text; ///< Text that occurs once in the valid configuration.
+    const char* replacement;
+    std::function<double(const TrafficConfiguration&)> value;
+    double expected;
+};
+
+auto quotaOf(const TrafficConfiguration& configuration) -> const WorkspaceQuota&
+{
+    return configuration.workspaces.front().quota;
+}
+
+const FractionCase fractionCases[] = {
+    { "version", R"("version":7)", R"("version":8.0)", [](const auto& read) { return static_cast<double>(read.version); }, 8 },
+    { "version with a fraction", R"("version":7)", R"("version":8.5)", [](const auto& read) { return static_cast<double>(read.version); }, 8 },
+    { "timeout", R"("timeout-ms":4000)", R"("timeout-ms":4000.9)", [](const auto& read) { return static_cast<double>(read.routes[0].timeout.count()); }, 4'000 },
+    { "timeout below a millisecond, which is not without limit", R"("timeout-ms":4000)", R"("timeout-ms":0.5)", [](const auto& read) { return static_cast<double>(read.routes[0].timeout.count()); }, 1 },
+    { "attempts", R"("max-attempts":2)", R"("max-attempts":2.9)", [](const auto& read) { return static_cast<double>(read.routes[0].maxAttempts); }, 2 },
+    { "attempts below one", R"("max-attempts":2)", R"("max-attempts":0.5)", [](const auto& read) { return static_cast<double>(read.routes[0].maxAttempts); }, 1 },
+    { "priority of a route", R"("slo-ms":500,"priority":0)", R"("slo-ms":500,"priority":1.0)", [](const auto& read) { return static_cast<double>(read.routes[0].priority); }, 1 },
+    { "weight", R"("weight":10)", R"("weight":0.5)", [](const auto& read) { return read.routes[1].shares[1].weight; }, 0.5 },
+    { "connections", R"("max-conns":110)", R"("max-conns":110.7)", [](const auto& read) { return static_cast<double>(read.services.at("old").maxConnections); }, 110 },
+    { "connections below one, which are not unknown", R"("max-conns":110)", R"("max-conns":0.7)", [](const auto& read) { return static_cast<double>(read.services.at("old").maxConnections); }, 1 },
+    { "slots", R"("capacity":64)", R"("capacity":64.5)", [](const auto& read) { return static_cast<double>(read.services.at("llm").engine->slots); }, 64 },
+    { "tokens of an event", R"("stride":3)", R"("stride":2.5)", [](const auto& read) { return static_cast<double>(read.services.at("llm").engine->tokensPerEvent); }, 2 },
+    { "fewest engines", R"("min":1)", R"("min":1.2)", [](const auto& read) { return static_cast<double>(read.services.at("llm").scaling->minEngines); }, 2 },
+    { "most engines", R"("max":8)", R"("max":7.8)", [](const auto& read) { return static_cast<double>(read.services.at("llm").scaling->maxEngines); }, 7 },
+    { "time to boot", R"("boot-time-s":4.0)", R"("boot-time-s":4.0002)", [](const auto& read) { return static_cast<double>(read.services.at("llm").scaling->bootTime.count()); }, 4'001 },
+    { "size of a body", R"("max-body-bytes":4194304)", R"("max-body-bytes":4194304.5)", [](const auto& read) { return static_cast<double>(read.limits.bodyBytes); }, 4'194'304 },
+    { "rate below one, which is not without limit", R"("rate-per-s":181347)", R"("rate-per-s":0.5)", [](const auto& read) { return quotaOf(read).perSecond; }, 0.5 },
+    { "burst", R"("burst":181347)", R"("burst":12.5)", [](const auto& read) { return quotaOf(read).burst; }, 12.5 },
+    { "tokens charged without counts", R"("plain-tokens":200)", R"("plain-tokens":199.1)", [](const auto& read) { return static_cast<double>(quotaOf(read).defaultRequestTokens); }, 200 },
+    { "priority of a workspace", R"("priority":1,"unit")", R"("priority":2.0,"unit")", [](const auto& read) { return static_cast<double>(*read.workspaces.front().priority); }, 2 },
+};
+
+// Guards against a configuration that is never in force because one of its numbers is a fraction.
+TEST_CASE("numbers of a configuration may be fractions, and limits are rounded to what is allowed for certain")
+{
+    for (const auto& row : fractionCases) {
+        CAPTURE(row.name);
+        std::string text(configurationText);
+        REQUIRE(text.find(row.text) == text.rfind(row.text));
+        text.replace(text.find(row.text), std::string_view(row.text).size(), row.replacement);
+        Findings findings;
+        const auto configuration = PlatformDocuments().decodeConfiguration(text, findings);
+        INFO(formatFindings(findings));
+        CHECK(configuration.has_value());
+        if (configuration)
+            CHECK(row.value(*configuration) == row.expected);
+    }
+}
+
 struct RegistrationCase {
     const char* name;
     const char* key;
@@ -97,6 +154,8 @@
     { "missing service", "servers/i-1", R"({"address":"10.0.0.9:8080","zone":"a","capacity":64,"state":"ready"})", false },
     { "service that is a number", "servers/i-1", R"({"backend":7,"address":"10.0.0.9:8080","zone":"a","capacity":64,"state":"ready"})", false },
     { "address with a host name", "servers/i-1", R"({"backend":"llm","address":"host:80","zone":"a","capacity":64,"state":"ready"})", false },
+    { "slots that are a fraction", "servers/i-1", R"({"backend":"llm","address":"10.0.0.9:8080","zone":"a","capacity":64.0,"state":"ready"})", true },
+    { "a time left that is a fraction", "servers/i-1", R"({"backend":"llm","address":"10.0.0.9:8080","zone":"a","capacity":64,"state":"draining","leaves_ms":2499.5})", true },
     { "slots as text", "servers/i-1", R"({"backend":"llm","address":"10.0.0.9:8080","zone":"a","capacity":"64","state":"ready"})", false },
     { "unknown state", "servers/i-1", R"({"backend":"llm","address":"10.0.0.9:8080","zone":"a","capacity":64,"state":"resting"})", false },
     { "start time that is not an integer", "servers/i-1", R"({"backend":"llm","address":"10.0.0.9:8080","zone":"a","capacity":64,"state":"ready","born":1.5})", false },
--- a/tests/traffic/test_quotaledger.cpp
+++ b/tests/traffic/test_quotaledger.cpp
@@ -15,7 +15,7 @@
 constexpr QuotaTolerance tolerance { 8s, 0.1, 110'000 };
 constexpr auto step = 10ms;
 
-auto makeWorkspace(std::int64_t perSecond, std::int64_t burst) -> TrafficWorkspace
+auto makeWorkspace(double perSecond, double burst) -> TrafficWorkspace
 {
     TrafficWorkspace workspace;
     workspace.name = "salon";
--- a/tests/traffic/test_quotalimiter.cpp
+++ b/tests/traffic/test_quotalimiter.cpp
@@ -13,7 +13,7 @@
 constexpr TimePoint start {};
 constexpr QuotaTolerance tolerance { 8s, 0.1, 110'000 };
 
-auto makeWorkspace(std::int64_t perSecond, std::int64_t burst) -> TrafficWorkspace
+auto makeWorkspace(double perSecond, double burst) -> TrafficWorkspace
 {
     TrafficWorkspace workspace;
     workspace.name = "salon";
