Forwarding: Limited the bytes that are buffered for all requests together

Cause: each answer had a limit (8 MiB), all of them together had none; answers that can't be passed on were kept, too.

What can't be passed on is not kept.

Why this works: what never ends is what grows largest, so it goes first, and what is small stays.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -82,8 +82,13 @@
         head += "Content-Length: " + std::to_string(hasBody ? message.body->size() : 0) + "\r\n";
     head += "\r\n";
     bufferevent_write(this->stream, head.data(), head.size());
-    if (hasBody)
-        bufferevent_write(this->stream, message.body->data(), message.body->size());
+    if (hasBody) {
+        // All attempts share the bytes, which are released when they have been sent.
+        auto owner = std::make_unique<std::shared_ptr<const std::string>>(message.body);
+        const auto release = [](const void*, std::size_t, void* bytes) { delete static_cast<std::shared_ptr<const std::string>*>(bytes); };
+        if (evbuffer_add_reference(bufferevent_get_output(this->stream), message.body->data(), message.body->size(), release, owner.get()) == 0)
+            static_cast<void>(owner.release());
+    }
 }
 
 auto BackendConnection::eventReceived(short events) -> void
--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -39,20 +39,35 @@
 
 } // namespace
 
-CallerExchange::CallerExchange(CallerConnection& connection, CallerMessage message)
+CallerExchange::CallerExchange(CallerConnection& connection, BufferBudget& buffers, CallerMessage message)
     : connection(&connection)
     , message(std::move(message))
+    , buffered(buffers)
 {
+    this->buffered.resize(this->message.body.size());
 }
 
 auto CallerExchange::respond(int status, const HttpHeaders& headers, std::string_view body) -> void
+{
+    this->respond(status, headers, body.size(), [body](bufferevent* stream) { bufferevent_write(stream, body.data(), body.size()); });
+}
+
+auto CallerExchange::respond(int status, const HttpHeaders& headers, const BlockBuffer& body) -> void
+{
+    this->respond(status, headers, body.size(), [&body](bufferevent* stream) {
+        for (const auto& block : body.blocks())
+            bufferevent_write(stream, block.data(), block.size());
+    });
+}
+
+auto CallerExchange::respond(int status, const HttpHeaders& headers, std::size_t bodyBytes, const std::function<void(bufferevent*)>& writeBody) -> void
 {
     if (!this->connection)
         return;
     auto* target = this->connection;
-    target->writeHead(status, headers, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    target->writeHead(status, headers, "Content-Length: " + std::to_string(bodyBytes) + "\r\n");
     if (this->message.head.method != "HEAD")
-        bufferevent_write(target->stream, body.data(), body.size());
+        writeBody(target->stream);
     target->responseCompleted();
 }
 
@@ -99,9 +114,10 @@
     return this->connection && evbuffer_get_length(bufferevent_get_output(this->connection->stream)) > streamBufferBytes;
 }
 
-CallerConnection::CallerConnection(EventLoop& loop, int socket, const CallerLimits& limits, RequestHandler requestHandler, ClosedHandler closed)
+CallerConnection::CallerConnection(EventLoop& loop, int socket, const CallerLimits& limits, BufferBudget& buffers, RequestHandler requestHandler, ClosedHandler closed)
     : loop(loop)
     , limits(limits)
+    , buffers(buffers)
     , requestHandler(std::move(requestHandler))
     , closedHandler(std::move(closed))
     , stream(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
@@ -109,6 +125,7 @@
           { [this](const MessageHead& head) { this->headReceived(head); }, [this](std::string_view bytes) { this->bodyReceived(bytes); } },
           limits.headerBytes)
     , timer(loop, [this] { this->timedOut(); })
+    , isAlive(std::make_shared<bool>(true))
 {
     disableNagle(socket);
     enableDeadPeerDetection(socket);
@@ -117,6 +134,8 @@
         [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->readable(); },
         [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->outputWritten(); },
         [](bufferevent*, short events, void* self) { static_cast<CallerConnection*>(self)->eventReceived(events); }, this);
+    evbuffer_add_cb(
+        bufferevent_get_output(this->stream), [](evbuffer*, const evbuffer_cb_info*, void* self) { static_cast<CallerConnection*>(self)->outputChanged(); }, this);
     bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     this->timer.start(limits.idleTimeout + idleMargin);
@@ -124,6 +143,7 @@
 
 CallerConnection::~CallerConnection()
 {
+    *this->isAlive = false;
     if (this->exchange)
         this->exchange->connection = nullptr;
     bufferevent_free(this->stream);
@@ -168,8 +188,16 @@
     this->incoming = {};
     this->incoming.head = head;
     this->incoming.received = EventLoop::now();
-    if (const auto length = head.headers.get("Content-Length"))
-        this->isTooLarge = std::strtoull(length->c_str(), nullptr, 10) > this->limits.bodyBytes;
+    this->incomingBytes = std::make_unique<BufferBudget::Account>(this->buffers, [this] {
+        this->post([this] { this->refuseIncomplete(); });
+    });
+    if (const auto text = head.headers.get("Content-Length")) {
+        const auto length = std::strtoull(text->c_str(), nullptr, 10);
+        this->isTooLarge = length > this->limits.bodyBytes;
+        // A text that grows takes up to three times the memory of its bytes meanwhile.
+        if (!this->isTooLarge)
+            this->incoming.body.reserve(length);
+    }
     const auto expect = head.headers.get("Expect");
     if (!this->isTooLarge && expect && strcasecmp(expect->c_str(), "100-continue") == 0) {
         constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -183,6 +211,7 @@
         this->isTooLarge = true;
     else
         this->incoming.body += bytes;
+    this->incomingBytes->resize(this->incoming.body.size());
 }
 
 auto CallerConnection::messageReceived() -> void
@@ -192,7 +221,8 @@
     this->isStreaming = false;
     if (!this->incoming.head.keepsAlive)
         this->closesAfterResponse = true;
-    this->exchange = std::make_shared<CallerExchange>(*this, std::move(this->incoming));
+    this->incomingBytes.reset();
+    this->exchange = std::make_shared<CallerExchange>(*this, this->buffers, std::move(this->incoming));
     this->incoming = {};
     const auto current = this->exchange;
     this->requestHandler(current);
@@ -241,6 +271,20 @@
         this->outputWritten();
 }
 
+auto CallerConnection::outputChanged() -> void
+{
+    const auto size = evbuffer_get_length(bufferevent_get_output(this->stream));
+    // Most output is written at once, and a stream that is congested is paused.
+    if (size <= streamBufferBytes)
+        return this->unreadBytes.reset();
+    if (!this->unreadBytes) {
+        this->unreadBytes = std::make_unique<BufferBudget::Account>(this->buffers, [this] {
+            this->post([this] { this->close("the answer was not read"); });
+        });
+    }
+    this->unreadBytes->resize(size);
+}
+
 auto CallerConnection::outputWritten() -> void
 {
     if (this->exchange && this->isStreaming) {
@@ -288,6 +332,14 @@
     return evbuffer_get_length(bufferevent_get_input(this->stream)) > 0 || (isKnown && unread > 0);
 }
 
+auto CallerConnection::post(std::function<void()> task) -> void
+{
+    this->loop.post([task = std::move(task), alive = this->isAlive] {
+        if (*alive)
+            task();
+    });
+}
+
 auto CallerConnection::isBusy() const -> bool
 {
     return this->state == State::Responding || this->state == State::Closing
--- a/src/forwarding/callerconnection.h
+++ b/src/forwarding/callerconnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "blockbuffer.h"
+#include "bufferbudget.h"
 #include "eventloop.h"
 #include "messageparser.h"
 #include "trafficconfiguration.h"
@@ -10,6 +12,7 @@
 #include <sigc++/signal.h>
 #include <string>
 #include <string_view>
+#include <utility>
 
 struct bufferevent;
 
@@ -33,13 +36,17 @@
  */
 class CallerExchange {
 public:
-    CallerExchange(CallerConnection&, CallerMessage);
+    CallerExchange(CallerConnection&, BufferBudget&, CallerMessage);
     CallerExchange(const CallerExchange&) = delete;
     auto operator=(const CallerExchange&) -> CallerExchange& = delete;
 
     [[nodiscard]] auto request() const -> const CallerMessage& { return this->message; }
 
+    /** Returns the body of the request, which request() no longer has afterwards. */
+    auto takeBody() -> std::string { return std::exchange(this->message.body, {}); }
+
     auto respond(int status, const HttpHeaders&, std::string_view body) -> void;
+    auto respond(int status, const HttpHeaders&, const BlockBuffer& body) -> void;
     auto beginStream(int status, const HttpHeaders&) -> void;
     auto sendPiece(std::string_view) -> void;
     auto endStream() -> void;
@@ -60,8 +67,11 @@
 private:
     friend class CallerConnection;
 
+    auto respond(int status, const HttpHeaders&, std::size_t bodyBytes, const std::function<void(bufferevent*)>& writeBody) -> void;
+
     CallerConnection* connection;
     CallerMessage message;
+    BufferBudget::Account buffered; ///< For the body of the request, which is kept for all attempts.
 };
 
 /**
@@ -72,8 +82,8 @@
     using RequestHandler = std::function<void(const std::shared_ptr<CallerExchange>&)>;
     using ClosedHandler = std::function<void(CallerConnection&)>;
 
-    /** Takes ownership of \a socket. \a closed is called last, from the event loop, and may destroy the connection. */
-    CallerConnection(EventLoop&, int socket, const CallerLimits&, RequestHandler, ClosedHandler closed);
+    /** Takes ownership of \a socket. What is buffered counts against \a buffers. \a closed is called last, from the event loop, and may destroy the connection. */
+    CallerConnection(EventLoop&, int socket, const CallerLimits&, BufferBudget& buffers, RequestHandler, ClosedHandler closed);
     ~CallerConnection();
     CallerConnection(const CallerConnection&) = delete;
     auto operator=(const CallerConnection&) -> CallerConnection& = delete;
@@ -108,6 +118,7 @@
     auto headReceived(const MessageHead&) -> void;
     auto bodyReceived(std::string_view) -> void;
     auto messageReceived() -> void;
+    auto outputChanged() -> void;
     auto outputWritten() -> void;
     auto eventReceived(short events) -> void;
     auto timedOut() -> void;
@@ -118,8 +129,12 @@
     auto closeAfterWriting() -> void;
     auto close(const std::string& reason) -> void;
 
+    /** Calls \a task from the loop, unless the connection was destroyed. */
+    auto post(std::function<void()> task) -> void;
+
     EventLoop& loop;
     CallerLimits limits;
+    BufferBudget& buffers;
     RequestHandler requestHandler;
     ClosedHandler closedHandler;
     bufferevent* stream;
@@ -131,6 +146,9 @@
     bool isStreaming = false;
     bool closesAfterResponse = false;
     bool isTooLarge = false;
+    std::unique_ptr<BufferBudget::Account> incomingBytes; ///< For the body of a request that is still arriving.
+    std::unique_ptr<BufferBudget::Account> unreadBytes; ///< For output that the caller has not read, while it is too much for a stream.
+    std::shared_ptr<bool> isAlive;
 };
 
 } // namespace Primrosefork
--- a/src/forwarding/callerlistener.cpp
+++ b/src/forwarding/callerlistener.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-CallerListener::CallerListener(EventLoop& loop, CallerConnection::RequestHandler requestHandler)
+CallerListener::CallerListener(EventLoop& loop, BufferBudget& buffers, CallerConnection::RequestHandler requestHandler)
     : loop(loop)
+    , buffers(buffers)
     , requestHandler(std::move(requestHandler))
 {
 }
@@ -44,7 +45,7 @@
 
 auto CallerListener::accepted(int socket) -> void
 {
-    auto connection = std::make_unique<CallerConnection>(this->loop, socket, this->limits, this->requestHandler, [this](CallerConnection& closed) {
+    auto connection = std::make_unique<CallerConnection>(this->loop, socket, this->limits, this->buffers, this->requestHandler, [this](CallerConnection& closed) {
         this->connections.erase(&closed);
         this->connectionClosed.emit();
     });
--- a/src/forwarding/callerlistener.h
+++ b/src/forwarding/callerlistener.h
@@ -17,7 +17,8 @@
  */
 class CallerListener {
 public:
-    CallerListener(EventLoop&, CallerConnection::RequestHandler);
+    /** Buffered requests and answers count against \a buffers. */
+    CallerListener(EventLoop&, BufferBudget& buffers, CallerConnection::RequestHandler);
     ~CallerListener();
     CallerListener(const CallerListener&) = delete;
     auto operator=(const CallerListener&) -> CallerListener& = delete;
@@ -50,6 +51,7 @@
     auto acceptPending() -> void;
 
     EventLoop& loop;
+    BufferBudget& buffers;
     CallerConnection::RequestHandler requestHandler;
     CallerLimits limits;
     evconnlistener* listener = nullptr;
--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendsender.h"
+#include "bufferbudget.h"
 #include "forwardrequest.h"
 #include "promptmonitor.h"
 #include "routingpolicy.h"
@@ -53,6 +54,7 @@
     RunMover& mover;
     RoutingPolicy& policy;
     PromptMonitor& prompts;
+    BufferBudget& buffers;
     Metrics& metrics;
     const EventLog& log;
     std::function<void(const std::string& workspace, std::chrono::milliseconds ago)> requestBegan; ///< Called when a server has begun to run a request, with the time since then.
--- a/src/forwarding/forwardrequest.cpp
+++ b/src/forwarding/forwardrequest.cpp
@@ -18,4 +18,14 @@
     return std::min(lowestPriority, workspacePriority * routePriorities + routePriority);
 }
 
+auto ForwardRequest::routingRequest() const -> RoutingRequest
+{
+    RoutingRequest request;
+    request.id = this->id;
+    request.promptTokens = this->fields.promptTokens;
+    request.expectedTokens = this->fields.outputTokens;
+    request.promptParts = this->fields.promptParts;
+    return request;
+}
+
 } // namespace Primrosefork
--- a/src/forwarding/forwardrequest.h
+++ b/src/forwarding/forwardrequest.h
@@ -3,6 +3,7 @@
 #include "callerconnection.h"
 #include "headercodec.h"
 #include "routetable.h"
+#include "routingpolicy.h"
 
 #include <chrono>
 #include <cstdint>
@@ -32,6 +33,9 @@
     /** Returns the priority at an engine, from 0 (first) to 9: that of the workspace, then that of the route. */
     [[nodiscard]] auto priority() const -> std::int64_t;
 
+    /** Returns what the choice of a server depends on. */
+    [[nodiscard]] auto routingRequest() const -> RoutingRequest;
+
     [[nodiscard]] auto isStream() const -> bool { return this->route->type == RouteType::Stream; }
 };
 
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -28,12 +28,6 @@
 constexpr std::chrono::milliseconds settlingTime = 500ms; ///< A server that crashes on a prompt may have sent its first events just before.
 constexpr int maxAttempts = 8; ///< Limits the attempts when servers refuse the request.
 
-auto isEventStream(const HttpHeaders& headers) -> bool
-{
-    const auto type = headers.get("Content-Type");
-    return type && type->starts_with("text/event-stream");
-}
-
 auto millisecondsSince(EventLoop::TimePoint moment) -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - moment);
@@ -47,7 +41,7 @@
     , exchange(std::move(callerExchange))
     , onEnd(std::move(onEnd))
     , deadlineTimer(context.loop, [this] { this->deadlineReached(); })
-    , body(std::make_shared<const std::string>(this->exchange->request().body))
+    , body(std::make_shared<const std::string>(this->exchange->takeBody()))
     , lastEventId(this->details.fields.lastEventId)
     , isAlive(std::make_shared<bool>(true))
 {
@@ -99,6 +93,7 @@
     this->attempt.emplace();
     this->attempt->server = server;
     this->attempt->sent = now;
+    this->attempt->buffered = std::make_unique<BufferBudget::Account>(this->context.buffers, [this] { this->responseTooLarge(); });
     this->attempt->copy = std::move(copy);
     this->move = {};
     this->context.policy.requestSent(this->routingRequest(), server, now);
@@ -142,11 +137,7 @@
 
 auto ForwardRun::routingRequest() const -> RoutingRequest
 {
-    RoutingRequest request;
-    request.id = this->details.id;
-    request.promptTokens = this->details.fields.promptTokens;
-    request.expectedTokens = this->details.fields.outputTokens;
-    request.promptParts = this->details.fields.promptParts;
+    auto request = this->details.routingRequest();
     request.isResumed = this->lastEventId.has_value();
     return request;
 }
@@ -157,7 +148,7 @@
     current.status = head.status;
     current.headers = head.headers;
     current.reply = reply;
-    current.isEventStream = head.status == HttpStatus::ok && isEventStream(head.headers);
+    current.isEventStream = head.status == HttpStatus::ok && head.headers.get("Content-Type").value_or("").starts_with("text/event-stream");
     current.endsWithConnection = !head.hasLength;
     if (reply.load)
         this->context.policy.loadObserved(current.server, *reply.load, EventLoop::now());
@@ -170,16 +161,20 @@
 {
     auto& current = *this->attempt;
     if (!current.isEventStream || !current.reply.isSealed) {
-        if (current.body.size() + bytes.size() > maxBufferedResponse)
+        current.bodyBytes += bytes.size();
+        if (current.bodyBytes > maxBufferedResponse)
             return this->responseTooLarge();
-        current.body += bytes;
-        return;
+        if (!current.isForwardable())
+            return;
+        current.body.add(bytes);
+        return current.buffered->resize(current.body.size());
     }
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
     if (current.events.pendingBytes() > maxEventBytes)
         return this->responseTooLarge();
     if (this->exchange->isCongested())
         current.call->pause();
+    current.buffered->resize(current.events.pendingBytes());
 }
 
 auto ForwardRun::responseTooLarge() -> void
@@ -223,6 +218,7 @@
 {
     auto& current = *this->attempt;
     current.call.reset();
+    current.buffered.reset();
     if (outcome == CallOutcome::Complete && current.isEventStream && current.endsWithConnection && this->move.isPending()) {
         // A move that stops the run closes its stream, which then ends as a whole one does; only the result of the move tells them apart.
         this->outcomeDuringMove = outcome;
@@ -234,11 +230,9 @@
     if ((outcome == CallOutcome::Complete || outcome == CallOutcome::TooLarge) && current.reply.isNotRun)
         return this->attemptRefused(current);
     const auto hasResponse = outcome == CallOutcome::Complete;
-    const auto isSuccess = current.status >= HttpStatus::ok && current.status < firstErrorStatus;
-    const auto isIntact = current.reply.isSealed && !current.headers.get("Content-Encoding");
-    if (hasResponse && isSuccess && isIntact)
+    if (hasResponse && current.isSuccess() && current.isIntact())
         this->settle();
-    if (hasResponse && (!isSuccess || isIntact))
+    if (hasResponse && current.isForwardable())
         return this->responseCompleted(current);
     this->attemptFailed(current, outcome);
 }
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "eventsplitter.h"
+#include "forwardattempt.h"
 #include "forwardcontext.h"
 #include "runmove.h"
 #include "streamprogress.h"
@@ -14,26 +14,6 @@
 
 namespace Primrosefork {
 
-/** One attempt to run a request on one server. */
-struct ForwardAttempt {
-    BackendServer server;
-    std::shared_ptr<BackendCall> call;
-    EventLoop::TimePoint sent;
-    int status = 0; ///< Status of the response; 0 until its headers are received.
-    HttpHeaders headers;
-    ReplyFields reply;
-    std::string body; ///< Body of a response that is not an event stream.
-    EventSplitter events;
-    bool isEventStream = false;
-    bool endsWithConnection = false; ///< Whether the response has neither a length nor chunks.
-    std::optional<EventLoop::TimePoint> firstEvent;
-    std::optional<std::string> copy; ///< Name of the copy from which the attempt continues the run of an earlier one.
-    bool isSettled = false; ///< Whether the answer has gone on for long enough to show that the prompt does not crash the server.
-
-    /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
-    [[nodiscard]] auto isBrokenOff() const -> bool { return this->isEventStream && (this->events.hasPartialEvent() || (this->endsWithConnection && !this->firstEvent)); }
-};
-
 /**
  * Forwards one request to backend servers, with as many attempts as its route
  * allows, and responds to the caller.
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -51,7 +51,7 @@
 } // namespace
 
 ForwardController::ForwardController(EventLoop& loop, const HeaderCodec& dialect, RunMover& mover, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, ServerLimitController& limits, PromptMonitor& prompts, const WallClock& clock, Metrics& metrics, const EventLog& log)
+    QuotaController& quotas, ServerLimitController& limits, PromptMonitor& prompts, BufferBudget& buffers, const WallClock& clock, Metrics& metrics, const EventLog& log)
     : loop(loop)
     , dialect(dialect)
     , settings(settings)
@@ -65,7 +65,7 @@
     , pool(loop, dialect, connectTimeout)
     , policy(hash64(settings.id))
     , usage(settings.bounds.usageWindow)
-    , context { loop, this->pool, dialect, *this, mover, this->policy, prompts, metrics, log,
+    , context { loop, this->pool, dialect, *this, mover, this->policy, prompts, buffers, metrics, log,
         [this](const std::string& workspace, std::chrono::milliseconds ago) {
             this->usage.requestBegan(workspace, this->clock.at(EventLoop::now()) - ago);
         } }
@@ -332,11 +332,7 @@
     const auto found = this->serversByService.find(request.service->name);
     if (found == this->serversByService.end())
         return nullptr;
-    RoutingRequest routing;
-    routing.id = request.id;
-    routing.promptTokens = request.fields.promptTokens;
-    routing.expectedTokens = request.fields.outputTokens;
-    routing.promptParts = request.fields.promptParts;
+    auto routing = request.routingRequest();
     routing.zone = this->settings.zone;
     auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random);
     std::erase_if(candidates, [this, &request, &excluded, now](const auto* server) {
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -33,7 +33,7 @@
  */
 class ForwardController : public StateSource, private ServerSelector {
 public:
-    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, ServerLimitController&, PromptMonitor&, const WallClock&, Metrics&, const EventLog&);
+    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, ServerLimitController&, PromptMonitor&, BufferBudget&, const WallClock&, Metrics&, const EventLog&);
     ~ForwardController() override;
 
     auto handle(const std::shared_ptr<CallerExchange>&) -> void;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::size_t requestBufferDivisor = 4; ///< Requests and answers may fill the memory of the node divided by this; their sockets, the rest of the node and its allocator need the other parts.
 constexpr auto clockPeriod = 1s; ///< Period at which the wall clock is sampled.
 
 auto listenOn(HttpServer& server, const Address& address, const EventLog& log) -> std::error_code
@@ -26,13 +27,14 @@
     , settings(nodeSettings)
     , systems(std::move(nodeSystems))
     , log(this->settings.logLevel)
+    , buffers(this->settings.memory / requestBufferDivisor)
     , settingsMonitor(this->settings, this->metrics, this->log)
     , epochs(*this->systems.store, this->metrics, this->log)
     , clockTimer(loop, [this] { this->sampleClock(); })
     , quotas(loop, this->settings, this->shared, this->metrics, this->log)
     , quarantines(*this->systems.store, this->metrics, this->log)
     , limits(this->settings.id, this->shared, this->metrics, this->log)
-    , forwarding(loop, *this->systems.dialect, *this->systems.mover, this->settings, this->shared, this->quotas, this->limits, this->quarantines, this->clock, this->metrics, this->log)
+    , forwarding(loop, *this->systems.dialect, *this->systems.mover, this->settings, this->shared, this->quotas, this->limits, this->quarantines, this->buffers, this->clock, this->metrics, this->log)
     , traffic(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->epochs, this->metrics, this->log)
     , registry(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->log)
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
@@ -40,7 +42,7 @@
     , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->relay, this->epochs, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
     , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->leadership, this->metrics, this->log)
-    , callers(loop, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
+    , callers(loop, this->buffers, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
     , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isConfigurationFresh(); })
     , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
         exchange->respond({ this->lifecycle.isReady() ? HttpStatus::ok : HttpStatus::unavailable, {}, "" });
@@ -119,8 +121,11 @@
 auto GatewayNode::answerOperator(const std::shared_ptr<HttpExchange>& exchange) -> void
 {
     const auto& path = exchange->request().path;
-    if (path == "/metrics")
+    if (path == "/metrics") {
+        this->metrics.setGauge("buffered_bytes", static_cast<double>(this->buffers.size()));
+        this->metrics.setGauge("buffers_given_up", static_cast<double>(this->buffers.givenUpCount()));
         return exchange->respond({ HttpStatus::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.toText() });
+    }
     if (path == "/state")
         return exchange->respond({ HttpStatus::ok, { { "Content-Type", "application/json" } }, this->stateText() });
     exchange->respond({ HttpStatus::notFound, {}, "" });
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -77,6 +77,7 @@
     GatewaySettings settings;
     GatewaySystems systems;
     EventLog log;
+    BufferBudget buffers; ///< For requests and answers.
     Metrics metrics;
     GatewayBoard shared;
     WallClock clock;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -16,6 +16,8 @@
 constexpr auto gatewayInterface = "gateway";
 constexpr double minProcessorShare = 0.01;
 constexpr double maxProcessorShare = 1'024;
+constexpr std::size_t minMemory = 16 * mebibyte;
+constexpr std::size_t maxMemory = 1'048'576 * mebibyte;
 constexpr std::array logLevels { "debug", "info", "warn", "error" };
 
 auto readNode(JsonReader& reader, GatewaySettings& settings) -> void
@@ -24,6 +26,7 @@
     reader.string("zone", settings.zone);
     reader.string("region", settings.region);
     reader.number("processor_share", settings.processorShare, minProcessorShare, maxProcessorShare);
+    reader.size("memory", settings.memory, minMemory, maxMemory);
 }
 
 auto readListen(JsonReader& reader, GatewaySettings& settings) -> void
@@ -152,6 +155,7 @@
         { "/node/zone", current.zone == next.zone },
         { "/node/region", current.region == next.region },
         { "/node/processor_share", current.processorShare == next.processorShare },
+        { "/node/memory", current.memory == next.memory },
         { "/listen/callers", current.callers == next.callers },
         { "/listen/readiness", current.readiness == next.readiness },
         { "/listen/peers", current.peers == next.peers },
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,8 +2,10 @@
 
 #include "address.h"
 #include "finding.h"
+#include "units.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -39,6 +41,7 @@
     std::string id;
     std::string zone;
     std::string region;
+    std::size_t memory = 256 * mebibyte; ///< Bytes of memory that the node may use.
     double processorShare = 1; ///< Processor cores that the node may use; larger nodes take on more of the fleet's work.
     Address callers; ///< Address for callers' requests.
     Address readiness; ///< Address for the load balancer's readiness check.
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -43,6 +43,12 @@
 
 } // namespace
 
+/** The response to a call as far as it was received. */
+struct CollectedResponse {
+    HttpResponse response;
+    std::unique_ptr<BufferBudget::Account> buffered;
+};
+
 /**
  * The HttpCall that HttpClient returns, on one evhttp connection.
  */
@@ -61,6 +67,9 @@
     auto cancel() -> void override;
     auto pause() -> void override;
     auto resume() -> void override;
+
+    /** Ends the call from the loop, because its response is too large. */
+    auto giveUp() -> void;
     [[nodiscard]] auto hasSentBytes() const -> bool override { return this->sentBytes > 0; }
 
 private:
@@ -245,6 +254,14 @@
     this->finish(error);
 }
 
+auto HttpClientCall::giveUp() -> void
+{
+    this->client.loop.post([call = this->self] {
+        if (call)
+            call->fail(Error::TooLarge);
+    });
+}
+
 auto HttpClientCall::cancel() -> void
 {
     if (this->isDone)
@@ -314,8 +331,9 @@
         this->handlers.onDone(error);
 }
 
-HttpClient::HttpClient(EventLoop& loop)
+HttpClient::HttpClient(EventLoop& loop, std::size_t bufferBytes)
     : loop(loop)
+    , buffers(bufferBytes)
     , isAlive(std::make_shared<bool>(true))
 {
 }
@@ -342,15 +360,24 @@
 auto HttpClient::fetch(const Address& server, const HttpRequest& request, const HttpCallOptions& options,
     std::function<void(std::error_code, const HttpResponse&)> done) -> std::shared_ptr<HttpCall>
 {
-    const auto response = std::make_shared<HttpResponse>();
+    const auto collected = std::make_shared<CollectedResponse>();
     HttpCallHandlers handlers;
-    handlers.onHeaders = [response](int status, const HttpHeaders& headers) {
-        response->status = status;
-        response->headers = headers;
+    handlers.onHeaders = [collected](int status, const HttpHeaders& headers) {
+        collected->response.status = status;
+        collected->response.headers = headers;
+    };
+    handlers.onPiece = [collected](std::string_view piece) {
+        collected->response.body += piece;
+        collected->buffered->resize(collected->response.body.size());
     };
-    handlers.onPiece = [response](std::string_view piece) { response->body += piece; };
-    handlers.onDone = [response, done = std::move(done)](std::error_code error) { done(error, *response); };
-    return this->send(server, request, options, std::move(handlers));
+    handlers.onDone = [collected, done = std::move(done)](std::error_code error) { done(error, collected->response); };
+    const auto call = std::make_shared<HttpClientCall>(*this, server, options, std::move(handlers));
+    collected->buffered = std::make_unique<BufferBudget::Account>(this->buffers, [weakCall = std::weak_ptr(call)] {
+        if (const auto givenUp = weakCall.lock())
+            givenUp->giveUp();
+    });
+    call->begin(request);
+    return call;
 }
 
 auto HttpClient::dropIdleConnections(const Address& server) -> void
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "address.h"
+#include "bufferbudget.h"
 #include "httpmessage.h"
 #include "units.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,7 +62,8 @@
  */
 class HttpClient {
 public:
-    explicit HttpClient(EventLoop&);
+    /** Answers that fetch() collects may fill \a bufferBytes together; above it the largest one ends with Error::TooLarge. */
+    explicit HttpClient(EventLoop&, std::size_t bufferBytes = 64 * mebibyte);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     auto operator=(const HttpClient&) -> HttpClient& = delete;
@@ -86,6 +89,7 @@
     auto idleConnectionClosed(evhttp_connection*) -> void;
 
     EventLoop& loop;
+    BufferBudget buffers;
     std::map<Address, std::vector<evhttp_connection*>> idle;
     std::shared_ptr<bool> isAlive;
 };
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -22,6 +22,7 @@
 
 constexpr int exitUsage = 2;
 constexpr int exitBadSettings = 3;
+constexpr std::size_t clientBufferDivisor = 8; ///< Answers of the platform's services may fill the memory of a gateway node divided by this.
 
 constexpr auto usage = R"(Serves callers' requests as one entry node.
 
@@ -73,7 +74,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     EventLoop loop;
-    HttpClient client(loop);
+    HttpClient client(loop, settings.memory / clientBufferDivisor);
     GatewayNode node(loop, settings, makePlatformSystems(client, settings));
     const SignalWatcher terminate(loop, SIGTERM, [&node] { node.requestStop("SIGTERM"); });
     const SignalWatcher interrupt(loop, SIGINT, [&node] { node.requestStop("SIGINT"); });
--- a/tests/callers/test_callerconnection.cpp
+++ b/tests/callers/test_callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "callerlistener.h"
 #include "rawconnection.h"
+#include "units.h"
 
 #include <doctest/doctest.h>
 #include <memory>
@@ -37,7 +38,8 @@
 
     EventLoop loop;
     int answered = 0;
-    CallerListener listener { loop, [this](const std::shared_ptr<CallerExchange>& exchange) {
+    BufferBudget buffers { mebibyte };
+    CallerListener listener { loop, buffers, [this](const std::shared_ptr<CallerExchange>& exchange) {
                                  ++this->answered;
                                  exchange->respond(200, {}, "");
                              } };
--- a/tests/forwarding/test_attemptorders.cpp
+++ b/tests/forwarding/test_attemptorders.cpp
@@ -3,6 +3,7 @@
 #include "eventlog.h"
 #include "forwardrun.h"
 #include "metrics.h"
+#include "units.h"
 
 #include <algorithm>
 #include <array>
@@ -26,7 +27,7 @@
     Request(EventLoop& loop, Metrics& metrics, const EventLog& log, const TrafficRoute& route, bool hasServers)
         : loop(loop)
         , world(route, hasServers)
-        , context { loop, world, codec, world, world, policy, world, metrics, log, [](const std::string&, std::chrono::milliseconds) {} }
+        , context { loop, world, codec, world, world, policy, world, buffers, metrics, log, [](const std::string&, std::chrono::milliseconds) {} }
     {
         std::array<int, 2> sockets {};
         REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets.data()) == 0);
@@ -34,7 +35,7 @@
         this->service.name = "llm";
         this->service.engine.emplace().canMoveRuns = true;
         this->connection = std::make_unique<CallerConnection>(
-            loop, sockets[0], CallerLimits {}, [this, &route](const std::shared_ptr<CallerExchange>& exchange) { this->begin(exchange, route); }, [](CallerConnection&) {});
+            loop, sockets[0], CallerLimits {}, buffers, [this, &route](const std::shared_ptr<CallerExchange>& exchange) { this->begin(exchange, route); }, [](CallerConnection&) {});
         constexpr std::string_view bytes = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
         REQUIRE(write(this->caller, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
         while (!this->run)
@@ -107,6 +108,7 @@
     auto fault(const std::string& text) -> void { this->world.faults.push_back(text); }
 
     EventLoop& loop;
+    BufferBudget buffers { mebibyte };
     AttemptWorld world;
     Codec codec;
     UnusedPolicy policy;
