Forwarding: Took an empty success without length or chunks for one that was cut off

What callers saw (report of another operator): a 200 with an empty body, framed as whole, after an engine stopped in its answer.

Cause: an answer without length and chunks ends with its connection; cut right after its head it looks like an empty one, and was passed on as that. Ruled out: heads that are cut at any byte; none became a success, in seven kinds of answers.

Change: such a success without a body is a failed attempt (another server where the route allows it, else 502). Statuses without a body need no length. The HTTP client, which the node's own interface uses, does the same. The row "closed without a body" of answerends expected the 200; that was wrong, as the test can't tell it from a cut answer either: it expects 502 now, and a second row the repeat.

Why this works: the caller gets no success that its server may not have finished.

--- a/src/forwarding/forwardattempt.h
+++ b/src/forwarding/forwardattempt.h
@@ -39,8 +39,11 @@
     /** Returns whether the caller may get the response, as far as its head tells. */
     [[nodiscard]] auto isForwardable() const -> bool { return !this->reply.isNotRun && (!this->isSuccess() || this->isIntact()); }
 
-    /** Returns whether the response is an event stream that ended inside an event, or before the first one with its connection. */
-    [[nodiscard]] auto isBrokenOff() const -> bool { return this->isEventStream && (this->events.hasPartialEvent() || (this->endsWithConnection && !this->firstEvent)); }
+    /**
+     * Returns whether a response that has ended was broken off: a stream inside an
+     * event, or any success that has neither framing nor content.
+     */
+    [[nodiscard]] auto isBrokenOff() const -> bool;
 };
 
 } // namespace Primrosefork
--- a/src/forwarding/messageparser.cpp
+++ b/src/forwarding/messageparser.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
 constexpr int skipBody = 1; ///< Returned from on_headers_complete for a message without a body.
 
 } // namespace
@@ -139,7 +141,8 @@
     this->current.keepsAlive = http_should_keep_alive(this->parser.get()) != 0;
     const auto hasContentLength = (this->parser->flags & F_CONTENTLENGTH) != 0;
     const auto isChunked = (this->parser->flags & F_CHUNKED) != 0;
-    this->current.hasLength = this->isBodiless || hasContentLength || isChunked;
+    const auto hasNoBody = this->isBodiless || this->current.status == statusNoContent || this->current.status == statusNotModified;
+    this->current.hasLength = hasNoBody || hasContentLength || isChunked;
     this->handlers.onHead(this->current);
     return this->isBodiless ? skipBody : 0;
 }
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr int firstRedirection = 300;
+constexpr int statusNoContent = 204;
 constexpr std::size_t maxIdlePerServer = 64;
 constexpr int libraryTimeoutSeconds = 24 * 3600; ///< One day, so that the timers of each call expire first.
 constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< Size limit for the headers of a response.
@@ -80,6 +82,7 @@
     auto headersReceived(evhttp_request*) -> void;
     auto piecesReceived(evhttp_request*) -> void;
     auto completed(evhttp_request*) -> void;
+    [[nodiscard]] auto isCutAfterHead(evhttp_request*) const -> bool;
     auto timedOut() -> void;
     auto fail(Error) -> void;
     auto release(bool isReusable) -> void;
@@ -228,7 +231,7 @@
         this->release(false);
         return this->finish(Error::TooLarge);
     }
-    const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) >= HttpStatus::ok;
+    const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) >= HttpStatus::ok && !this->isCutAfterHead(request);
     if (!isWhole) {
         this->release(false);
         const auto lost = this->hasExceededLimit ? Error::TooLarge : Error::ConnectionLost;
@@ -239,6 +242,15 @@
     this->finish({});
 }
 
+auto HttpClientCall::isCutAfterHead(evhttp_request* request) const -> bool
+{
+    // An empty body that ends with its connection looks the same as one that was cut off after the head.
+    const auto status = evhttp_request_get_response_code(request);
+    const auto* headers = evhttp_request_get_input_headers(request);
+    const auto isFramed = evhttp_find_header(headers, "Content-Length") || evhttp_find_header(headers, "Transfer-Encoding");
+    return this->receivedBytes == 0 && !isFramed && status < firstRedirection && status != statusNoContent;
+}
+
 auto HttpClientCall::timedOut() -> void
 {
     this->fail(this->hasSentBytes() ? Error::Timeout : Error::ConnectionFailed);
--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -32,9 +32,9 @@
     std::vector<std::unique_ptr<ScriptedServer>> servers;
 };
 
-auto ownHead(const std::string& request) -> std::string
+auto ownHead(const std::string& request, const std::string& status = "200") -> std::string
 {
-    return "HTTP/1.1 200 X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n";
+    return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n";
 }
 
 auto bodyOf(const std::string& answer) -> std::string
@@ -135,7 +135,8 @@
 const BodyEndCase bodyEndCases[] = {
     { "closed after its body", "/once/", "hello", End::Close, "HTTP/1.1 200", "hello", 1 },
     { "closed after its body, repeatable", "/read/", "hello", End::Close, "HTTP/1.1 200", "hello", 1 },
-    { "closed without a body", "/once/", "", End::Close, "HTTP/1.1 200", "", 1 },
+    { "closed without a body", "/once/", "", End::Close, "HTTP/1.1 502", "", 1 },
+    { "closed without a body, repeatable", "/read/", "", End::Close, "HTTP/1.1 200", "again", 2 },
     { "reset after its body", "/once/", "hello", End::Reset, "HTTP/1.1 502", "", 1 },
     { "reset after its body, repeatable", "/read/", "hello", End::Reset, "HTTP/1.1 200", "again", 2 },
     { "reset after its head", "/once/", "", End::Reset, "HTTP/1.1 502", "", 1 },
@@ -155,6 +156,86 @@
     }
 }
 
+/** A success without a body, which needs no length. */
+struct EmptyCase {
+    const char* name;
+    const char* status;
+    const char* lines; ///< Header lines beside those of every answer.
+    bool isWhole; ///< Whether the caller gets the answer.
+};
+
+const EmptyCase emptyCases[] = {
+    { "a length of zero", "200", "Content-Length: 0\r\n", true },
+    { "no chunks", "200", "Transfer-Encoding: chunked\r\n", true },
+    { "a status that has no body", "204", "", true },
+    { "neither length nor chunks", "200", "", false },
+    { "neither length nor chunks, created", "201", "", false },
+};
+
+TEST_CASE("an empty answer is whole when its head says so")
+{
+    for (const auto& row : emptyCases) {
+        CAPTURE(std::string(row.name));
+        const auto isChunked = std::string(row.lines).starts_with("Transfer-Encoding");
+        const auto first = [&](const std::string& request) -> ScriptedAnswer { return { ownHead(request, row.status) + row.lines + "\r\n" + (isChunked ? "0\r\n\r\n" : ""), true }; };
+        EndFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"));
+        CHECK(answer.starts_with(row.isWhole ? "HTTP/1.1 " + std::string(row.status) : "HTTP/1.1 502"));
+        CHECK(fixture.requestCount == 1);
+    }
+}
+
+/** An answer that is sent up to some byte, after which the connection is closed. */
+struct CutCase {
+    const char* name;
+    const char* prefix;
+    std::string lines; ///< Header lines beside those of every answer.
+    std::string body;
+    bool isBodySafe; ///< Whether a cut in the body can be told from the end.
+};
+
+const CutCase cutCases[] = {
+    { "a length", "/once/", "Content-Length: 5\r\n", "hello", true },
+    { "a length, repeatable", "/read/", "Content-Length: 5\r\n", "hello", true },
+    { "chunks", "/once/", "Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n", true },
+    { "neither", "/once/", "", "hello", false },
+    { "neither, repeatable", "/read/", "", "hello", false },
+    { "a stream in chunks", "/stream/", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", "9\r\ndata: a\n\n\r\n0\r\n\r\n", true },
+    { "a stream with neither", "/stream/", "Content-Type: text/event-stream\r\n", "data: a\n\n", true },
+};
+
+// Guards against an answer whose server stopped in the middle of its head, or right after it, being passed on as an empty success.
+TEST_CASE("an answer that is cut at any byte of its head, or of a framed body, is not passed on as a whole one")
+{
+    for (const auto& row : cutCases) {
+        CAPTURE(std::string(row.name));
+        GatewayFixture fixture;
+        std::size_t wholeSize = 0;
+        const auto script = [&row, &wholeSize](const std::string& request) -> ScriptedAnswer {
+            const auto whole = ownHead(request) + row.lines + "\r\n" + row.body;
+            wholeSize = whole.size();
+            return { whole.substr(0, std::stoul(headerOf(request, "X-Attempt-Id").substr(1))), true };
+        };
+        const ScriptedServer server(fixture.loop, { "127.0.0.1", firstPort }, script);
+        fixture.configure(1);
+        fixture.registerServer("i-1", std::string(row.prefix) == "/stream/" ? "llm" : "app", firstPort);
+        REQUIRE(fixture.start());
+        constexpr std::size_t idDigits = 3; // The answers repeat the id, so that all have the same size.
+        auto cutEnd = std::size_t { 1 };
+        for (std::size_t cut = 0; cut < cutEnd; ++cut) {
+            auto digits = std::to_string(cut);
+            digits.insert(0, idDigits - digits.size(), '0');
+            const auto answer = fixture.sendRequest(GatewayFixture::makeRequest(row.prefix, "c" + digits));
+            cutEnd = row.isBodySafe ? wholeSize : wholeSize - row.body.size() + 1;
+            CAPTURE(cut);
+            const auto isSuccess = answer.starts_with("HTTP/1.1 200");
+            CHECK_FALSE((isSuccess && isWhole(answer)));
+            CHECK((isSuccess || answer.starts_with("HTTP/1.1 502")));
+        }
+        CHECK(cutEnd > row.lines.size());
+    }
+}
+
 /** The framing of an answer that ends. */
 enum class Framing {
     Length,
