Forwarding: Gave up the buffers of answers from the event loop

No caller saw it; found while reading the change. A buffer was given up within the call that exceeded the budget, which may be the forwarding of an event of the same attempt: the attempt was replaced while its events were being read. Likewise a collected answer could outlive the budget of its client.

Change: the attempt is ended by a task of the loop, if it is still the same one; the budget lives as long as the calls.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -93,7 +93,7 @@
     this->attempt.emplace();
     this->attempt->server = server;
     this->attempt->sent = now;
-    this->attempt->buffered = std::make_unique<BufferBudget::Account>(this->context.buffers, [this] { this->responseTooLarge(); });
+    this->attempt->buffered = std::make_unique<BufferBudget::Account>(this->context.buffers, [this] { this->bufferGivenUp(); });
     this->attempt->copy = std::move(copy);
     this->move = {};
     this->context.policy.requestSent(this->routingRequest(), server, now);
@@ -183,6 +183,15 @@
     this->attemptEnded(CallOutcome::TooLarge);
 }
 
+auto ForwardRun::bufferGivenUp() -> void
+{
+    // From the event loop, because an event that is being forwarded may have exceeded the budget.
+    this->context.loop.post([this, alive = this->isAlive, number = this->attempts] {
+        if (*alive && this->attempts == number && this->attempt->call)
+            this->responseTooLarge();
+    });
+}
+
 auto ForwardRun::eventReceived(const StreamEvent& event) -> void
 {
     auto& current = *this->attempt;
@@ -342,17 +351,14 @@
         { { "request", this->details.fields.requestId }, { "from", this->attempt->server.id }, { "to", target },
             { "outcome", error ? error.message() : (moved.isAtSource ? "destination full, copy kept at its engine" : "moved") }, { "events", std::to_string(this->progress.eventCount()) },
             { "stream", this->outcomeDuringMove ? "ended" : "open" } });
-    if (this->phase == Phase::Over)
-        return;
-    if (const auto outcome = std::exchange(this->outcomeDuringMove, std::nullopt))
+    if (const auto outcome = std::exchange(this->outcomeDuringMove, std::nullopt); outcome && this->phase != Phase::Over)
         this->attemptEnded(*outcome);
 }
 
 auto ForwardRun::wasStoppedByMove() const -> bool
 {
-    if (!this->attempt->isEventStream || !this->attempt->endsWithConnection)
-        return false;
-    return this->move.copy() || (this->move.mayHaveStoppedRun() && !this->progress.hasAllEvents(this->details));
+    const auto wasStopped = this->move.copy() || (this->move.mayHaveStoppedRun() && !this->progress.hasAllEvents(this->details));
+    return this->attempt->isEventStream && this->attempt->endsWithConnection && wasStopped;
 }
 
 auto ForwardRun::resumeFromCopy() -> bool
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -72,6 +72,7 @@
     auto eventReceived(const StreamEvent&) -> void;
     auto settle() -> void;
     auto responseTooLarge() -> void;
+    auto bufferGivenUp() -> void;
     auto attemptEnded(CallOutcome) -> void;
     auto responseCompleted(ForwardAttempt&) -> void;
     auto attemptRefused(const ForwardAttempt&) -> void;
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -142,6 +142,11 @@
         return Refusal { HttpStatus::unavailable, "servers_paused", wait };
     if (const auto left = this->prompts.quarantineLeft(request.service->name, request.fields.promptParts, EventLoop::now()))
         return Refusal { HttpStatus::unavailable, "quarantined_prompt", left };
+    return this->admitUntilDeadline(request);
+}
+
+auto ForwardController::admitUntilDeadline(ForwardRequest& request) -> std::optional<Refusal>
+{
     auto left = request.fields.deadline.value_or(defaultDeadline);
     if (request.route->timeout > 0ms)
         left = std::min(left, request.route->timeout);
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -62,8 +62,10 @@
 
     auto admit(ForwardRequest&, const MessageHead&) -> std::optional<Refusal>;
     auto admitWorkspace(ForwardRequest&) -> std::optional<Refusal>;
+    auto admitUntilDeadline(ForwardRequest&) -> std::optional<Refusal>;
     auto refuse(CallerExchange&, const ForwardRequest&, const Refusal&) -> void;
     auto quotaDecided(ForwardRequest, const std::shared_ptr<CallerExchange>&, std::optional<std::chrono::milliseconds> wait) -> void;
+    /** Returns whether the request is expected to be answered before a stop that has begun ends. */
     [[nodiscard]] auto isAnsweredInTime(const ForwardRequest&) const -> bool;
     auto runEnded(std::uint64_t id) -> void;
     auto start(ForwardRequest, const std::shared_ptr<CallerExchange>&) -> void;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -16,7 +16,7 @@
 constexpr auto gatewayInterface = "gateway";
 constexpr double minProcessorShare = 0.01;
 constexpr double maxProcessorShare = 1'024;
-constexpr std::size_t minMemory = 16 * mebibyte;
+constexpr std::size_t minMemory = mebibyte;
 constexpr std::size_t maxMemory = 1'048'576 * mebibyte;
 constexpr std::array logLevels { "debug", "info", "warn", "error" };
 
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -47,6 +47,7 @@
 
 /** The response to a call as far as it was received. */
 struct CollectedResponse {
+    std::shared_ptr<BufferBudget> budget; ///< Kept, because a call may outlive its client.
     HttpResponse response;
     std::unique_ptr<BufferBudget::Account> buffered;
 };
@@ -345,7 +346,7 @@
 
 HttpClient::HttpClient(EventLoop& loop, std::size_t bufferBytes)
     : loop(loop)
-    , buffers(bufferBytes)
+    , buffers(std::make_shared<BufferBudget>(bufferBytes))
     , isAlive(std::make_shared<bool>(true))
 {
 }
@@ -373,6 +374,7 @@
     std::function<void(std::error_code, const HttpResponse&)> done) -> std::shared_ptr<HttpCall>
 {
     const auto collected = std::make_shared<CollectedResponse>();
+    collected->budget = this->buffers;
     HttpCallHandlers handlers;
     handlers.onHeaders = [collected](int status, const HttpHeaders& headers) {
         collected->response.status = status;
@@ -384,7 +386,7 @@
     };
     handlers.onDone = [collected, done = std::move(done)](std::error_code error) { done(error, collected->response); };
     const auto call = std::make_shared<HttpClientCall>(*this, server, options, std::move(handlers));
-    collected->buffered = std::make_unique<BufferBudget::Account>(this->buffers, [weakCall = std::weak_ptr(call)] {
+    collected->buffered = std::make_unique<BufferBudget::Account>(*this->buffers, [weakCall = std::weak_ptr(call)] {
         if (const auto givenUp = weakCall.lock())
             givenUp->giveUp();
     });
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -89,7 +89,7 @@
     auto idleConnectionClosed(evhttp_connection*) -> void;
 
     EventLoop& loop;
-    BufferBudget buffers;
+    std::shared_ptr<BufferBudget> buffers; ///< For the responses that fetch() collects.
     std::map<Address, std::vector<evhttp_connection*>> idle;
     std::shared_ptr<bool> isAlive;
 };
