--- a/tests/fuzz/test_documentfuzz.cpp
+++ b/tests/fuzz/test_documentfuzz.cpp
@@ -36,6 +36,11 @@
     return number >= 0 && number <= maxCount;
 }
 
+auto isAmount(double number) -> bool
+{
+    return number >= 0 && number <= static_cast<double>(maxCount);
+}
+
 auto isTime(std::chrono::milliseconds time) -> bool
 {
     return time >= 0ms && time <= 24h;
@@ -44,7 +49,7 @@
 auto isInRange(const TrafficRoute& route) -> bool
 {
     return isPlain(route.name) && isTime(route.timeout) && isTime(route.objective) && isTime(route.maxEventGap) && isCount(route.priority) && isCount(route.maxAttempts)
-        && route.maxAttempts > 0 && std::all_of(route.shares.begin(), route.shares.end(), [](const RouteShare& share) { return isCount(share.weight); });
+        && route.maxAttempts > 0 && std::all_of(route.shares.begin(), route.shares.end(), [](const RouteShare& share) { return isAmount(share.weight); });
 }
 
 auto isInRange(const TrafficService& service) -> bool
@@ -57,7 +62,7 @@
 
 auto isInRange(const TrafficWorkspace& workspace) -> bool
 {
-    return isPlain(workspace.name) && isCount(workspace.priority.value_or(0)) && isCount(workspace.quota.perSecond) && isCount(workspace.quota.burst)
+    return isPlain(workspace.name) && isCount(workspace.priority.value_or(0)) && isAmount(workspace.quota.perSecond) && isAmount(workspace.quota.burst)
         && isCount(workspace.quota.defaultRequestTokens);
 }
 
