Load: Shared the load of backend servers between nodes

A node sees one answer of an engine in about ten seconds and does not know what the other nodes have sent there.

Nodes now report their open requests and pending prefill tokens by server, the leader sums them (LoadAccount) and answers with the load of the others at the busiest servers, the mean of each service and the rooms by zone, and the routing policy uses them (LoadView) where they are newer than the server's own answer. Off without /load/shared. The loads follow the message as blocks, so that nodes of earlier versions read the rest.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -68,7 +68,7 @@
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, RelayController& relay, StoreEpochMonitor& epochs, Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, SharedLoadController& loads, RelayController& relay, StoreEpochMonitor& epochs, Metrics& metrics, const EventLog& log, ReportSource reportSource)
     : loop(loop)
     , store(store)
     , settings(settings)
@@ -76,6 +76,7 @@
     , quotas(quotas)
     , quarantines(quarantines)
     , limits(limits)
+    , loads(loads)
     , relay(relay)
     , epochs(epochs)
     , metrics(metrics)
@@ -250,6 +251,7 @@
         this->epochs.recordWhenSettled();
         this->quarantines.recordChanges(EventLoop::now());
         this->quotas.updateAccounts(this->nodeRecords, this->recordedNodeCount);
+        this->loads.updateAccount(this->recordedNodeCount);
         this->partitionEngines();
         return this->applyAnswer(this->answerFor(this->settings.id, 0));
     }
@@ -338,6 +340,7 @@
     node.receivedAt = EventLoop::now();
     this->quarantines.reportReceived(message.sender, node.report.prompts, node.receivedAt);
     this->limits.reportReceived(message.sender, node.report);
+    this->loads.reportReceived(message.sender, node.report);
     for (const auto& entry : node.report.windows)
         node.windows[entry.window] = entry.counts;
     while (node.windows.size() > keptWindows)
@@ -362,6 +365,7 @@
     answer.reportSequence = reportSequence;
     this->quarantines.addToAnswer(answer, EventLoop::now());
     this->limits.addToAnswer(answer, nodeId);
+    this->loads.addToAnswer(answer, nodeId);
     const auto node = this->nodeRecords.find(nodeId);
     const auto& traffic = this->board.traffic.value();
     const auto& registry = this->relay.watcher(RelayTopic::Registry);
@@ -458,8 +462,12 @@
     }
     this->quarantines.applyAnswer(answer, EventLoop::now());
     // The leader answers itself at once; an answer to an earlier report has a time that is no longer known.
-    if (answer.reportSequence == 0 || report != this->reportTimes.end())
-        this->limits.applyAnswer(answer, answer.reportSequence == 0 ? BootClock::now() : report->second);
+    if (answer.reportSequence == 0 || report != this->reportTimes.end()) {
+        const auto now = BootClock::now();
+        const auto sentAt = answer.reportSequence == 0 ? now : report->second;
+        this->limits.applyAnswer(answer, sentAt);
+        this->loads.applyAnswer(answer, now - sentAt);
+    }
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     current.otherQuotaShare = answer.otherShare;
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -10,6 +10,7 @@
 #include "quotacontroller.h"
 #include "relaycontroller.h"
 #include "serverlimitcontroller.h"
+#include "sharedloadcontroller.h"
 #include "statesource.h"
 #include "storeepochmonitor.h"
 #include "streampartition.h"
@@ -53,7 +54,7 @@
 public:
     using ReportSource = std::function<NodeReport()>;
 
-    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, RelayController&, StoreEpochMonitor&, Metrics&, const EventLog&, ReportSource);
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, SharedLoadController&, RelayController&, StoreEpochMonitor&, Metrics&, const EventLog&, ReportSource);
     ~CoordinationController() override;
 
     auto begin() -> std::error_code;
@@ -103,6 +104,7 @@
     QuotaController& quotas;
     QuarantineController& quarantines;
     ServerLimitController& limits;
+    SharedLoadController& loads;
     RelayController& relay;
     StoreEpochMonitor& epochs;
     Metrics& metrics;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -1,11 +1,14 @@
 #include "fleetmessage.h"
 
+#include "loadmessage.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cmath>
 #include <exception>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <sstream>
@@ -421,7 +424,7 @@
     // One function serialises both ways, so it takes the message by a reference that it may write to.
     auto copy = message;
     archive(copy);
-    const auto plain = std::move(stream).str();
+    const auto plain = std::move(stream).str() + encodeLoads(message);
     return plain.size() < minCompressedBytes ? std::string(1, static_cast<char>(Encoding::Plain)) + plain : deflateText(plain);
 }
 
@@ -441,7 +444,8 @@
         cereal::PortableBinaryInputArchive archive(stream);
         FleetMessage message;
         archive(message);
-        return message;
+        const std::string rest { std::istreambuf_iterator<char>(stream), {} };
+        return decodeLoads(rest, message) ? std::optional(std::move(message)) : std::nullopt;
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "keyvaluestore.h"
+#include "loadanswer.h"
 #include "promptevidence.h"
 #include "quotaledger.h"
 #include "serverlimits.h"
@@ -54,6 +55,7 @@
     std::vector<PromptEvidence> prompts; ///< Evidence of prompts that crash servers, by service.
     std::vector<LimitStatement> limits; ///< Limits that servers named or withdrew lately; all that are known for a new leader.
     std::uint64_t limitsDigest = 0; ///< Digest of all limits that the node knows.
+    std::optional<std::vector<ServerLoad>> loads; ///< Load that the node puts on backend servers, the largest first; not set when it does not share its load.
 };
 
 /** The share of a workspace's quota that one node may grant without the leader. */
@@ -87,6 +89,7 @@
     bool hasAllLimits = false; ///< Whether the leader knows all limits; a new leader may not know them yet.
     std::vector<LimitStatement> limits;
     bool hasAllQuarantines = false; ///< Whether all parts under quarantine are named; a new leader may not know them yet.
+    std::optional<LoadAnswer> load; ///< Load of all nodes; not set while the leader does not know it.
 };
 
 /** A node's request to the leader for units of a workspace's quota. */
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -51,13 +51,14 @@
 } // namespace
 
 ForwardController::ForwardController(EventLoop& loop, const HeaderCodec& dialect, RunMover& mover, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, ServerLimitController& limits, PromptMonitor& prompts, BufferBudget& buffers, const WallClock& clock, Metrics& metrics, const EventLog& log)
+    QuotaController& quotas, ServerLimitController& limits, SharedLoadController& loads, PromptMonitor& prompts, BufferBudget& buffers, const WallClock& clock, Metrics& metrics, const EventLog& log)
     : loop(loop)
     , dialect(dialect)
     , settings(settings)
     , board(board)
     , quotas(quotas)
     , limits(limits)
+    , loads(loads)
     , prompts(prompts)
     , clock(clock)
     , metrics(metrics)
@@ -75,6 +76,8 @@
     , nodeCount(board.fleetShare.value().nodes)
     , lastReport(EventLoop::now())
 {
+    if (loads.isShared())
+        this->policy.setOtherLoads(&loads.view());
     board.backendServers.changed.connect([this](const BackendServers& servers) { this->serversChanged(servers); });
     board.fleetShare.changed.connect([this](const FleetShare& share) { this->shareChanged(share); });
 }
@@ -449,6 +452,7 @@
     }
     for (auto& [service, entry] : services)
         report.services.push_back(std::move(entry));
+    this->loads.addToReport(report, this->policy.ownLoads());
     return report;
 }
 
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -14,6 +14,7 @@
 #include "serveravailability.h"
 #include "serverindex.h"
 #include "serverlimitcontroller.h"
+#include "sharedloadcontroller.h"
 #include "statesource.h"
 #include "wallclock.h"
 
@@ -33,7 +34,7 @@
  */
 class ForwardController : public StateSource, private ServerSelector {
 public:
-    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, ServerLimitController&, PromptMonitor&, BufferBudget&, const WallClock&, Metrics&, const EventLog&);
+    ForwardController(EventLoop&, const HeaderCodec&, RunMover&, const GatewaySettings&, GatewayBoard&, QuotaController&, ServerLimitController&, SharedLoadController&, PromptMonitor&, BufferBudget&, const WallClock&, Metrics&, const EventLog&);
     ~ForwardController() override;
 
     auto handle(const std::shared_ptr<CallerExchange>&) -> void;
@@ -93,6 +94,7 @@
     GatewayBoard& board;
     QuotaController& quotas;
     ServerLimitController& limits;
+    SharedLoadController& loads;
     PromptMonitor& prompts;
     const WallClock& clock;
     Metrics& metrics;
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -21,6 +21,7 @@
 #include "runmover.h"
 #include "serverlimitcontroller.h"
 #include "settingsmonitor.h"
+#include "sharedloadcontroller.h"
 #include "stopcontroller.h"
 #include "storeepochmonitor.h"
 #include "trafficcontroller.h"
@@ -87,6 +88,7 @@
     QuotaController quotas;
     QuarantineController quarantines;
     ServerLimitController limits;
+    SharedLoadController loads;
     ForwardController forwarding;
     TrafficController traffic;
     RegistryController registry;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -50,6 +50,7 @@
     Address keyValueService;
     Address fleetApi; ///< Address of the fleet API; port 0 when the platform has none.
     GatewayBounds bounds;
+    bool sharesLoad = false; ///< Whether nodes share the load that they put on backend servers.
     std::string logLevel = "info";
 };
 
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -116,8 +116,7 @@
     const auto& state = found == this->servers.end() ? idle : found->second;
     const auto age = std::chrono::duration<double>(now - state.observedAt) / std::chrono::duration<double>(loadLifetime);
     const auto freshness = state.observedAt == TimePoint {} ? 0.0 : std::max(0.0, 1 - age);
-    const auto otherRequests = freshness * static_cast<double>(state.otherRequests);
-    const auto waiting = freshness * static_cast<double>(state.otherWaiting);
+    const auto others = this->estimateOthers(server, state, freshness, now);
     const auto slowness = this->slowdowns.slowness(server) * (1 + freshness * (state.machineSlowness - 1));
 
     auto cost = jitterTokens * static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
@@ -127,11 +126,38 @@
         cost += mismatchTokens;
     if (server.kind == BackendKind::Plain) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.slots));
-        const auto requests = static_cast<double>(state.running) + otherRequests + waiting;
+        const auto requests = static_cast<double>(state.running) + others.requests + others.waiting;
         return cost + slowness * plainRequestTokens * (1 + requests / slots + std::max(0.0, requests - slots) / slots);
     }
     cost += slowness * static_cast<double>(state.pendingPrefillTokens + this->uncachedTokens(request, state, prefixes, isHome, now));
-    return cost + slowness * (runningRequestTokens * (static_cast<double>(state.running) + otherRequests) + waitingRequestTokens * waiting);
+    return cost + slowness * (runningRequestTokens * (static_cast<double>(state.running) + others.requests) + waitingRequestTokens * others.waiting + others.pendingPrefillTokens);
+}
+
+auto CacheAwarePolicy::estimateOthers(const BackendServer& server, const ServerState& state, double freshness, TimePoint now) const -> OthersEstimate
+{
+    const OthersEstimate observed { freshness * static_cast<double>(state.otherRequests), freshness * static_cast<double>(state.otherWaiting), 0 };
+    const auto reported = this->otherLoads ? this->otherLoads->othersAt(server, now) : std::nullopt;
+    if (!reported)
+        return observed;
+    // Requests beyond the slots of an engine wait until one is free; the cost of a plain server has them already.
+    const auto open = static_cast<double>(state.running) + reported->openRequests;
+    const auto waiting = server.kind == BackendKind::Engine ? std::max(0.0, open - static_cast<double>(server.slots)) : 0;
+    // The newer of the two counts, and as it gets old the other one fills the rest of its weight.
+    const auto isOlder = reported->reportedAt < state.observedAt;
+    const auto observedWeight = isOlder ? 1 : 1 - reported->weight;
+    const auto reportedWeight = isOlder ? (1 - freshness) * reported->weight : reported->weight;
+    return { observedWeight * observed.requests + reportedWeight * reported->openRequests, observedWeight * observed.waiting + reportedWeight * waiting,
+        reportedWeight * reported->pendingPrefillTokens };
+}
+
+auto CacheAwarePolicy::ownLoads() const -> std::vector<ServerLoad>
+{
+    std::vector<ServerLoad> loads;
+    for (const auto& [id, state] : this->servers) {
+        if (state.running > 0)
+            loads.push_back({ loadKeyOf(id), state.running, std::max<std::int64_t>(0, state.pendingPrefillTokens) });
+    }
+    return loads;
 }
 
 auto CacheAwarePolicy::uncachedTokens(
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "otherloadsource.h"
 #include "routingpolicy.h"
+#include "serverload.h"
 #include "slowdowndetector.h"
 #include "streampartition.h"
 
@@ -51,6 +53,12 @@
     /** Sets the \a ids of the engines that long streams are sent to and that other requests avoid. */
     auto setStreamEngines(std::set<std::string> ids) -> void { this->streamEngines = std::move(ids); }
 
+    /** Sets the \a source of the other nodes' load, which must outlive the policy; null for none. */
+    auto setOtherLoads(const OtherLoadSource* source) -> void { this->otherLoads = source; }
+
+    /** Returns the load that this node's open requests put on each server. */
+    [[nodiscard]] auto ownLoads() const -> std::vector<ServerLoad>;
+
     /** Discards what is known of the cache of the server \a id, after it was restarted. */
     auto clearCache(const std::string& id) -> void;
 
@@ -84,6 +92,16 @@
         std::unordered_map<std::uint64_t, TimePoint> cachedPrefixes; ///< Prefixes of this node's prompts that the server prefilled, with the time of their last use.
     };
 
+    /** Estimated load of the other nodes at a server. */
+    struct OthersEstimate {
+        double requests = 0;
+        double waiting = 0; ///< Requests that wait for a slot of an engine.
+        double pendingPrefillTokens = 0; ///< As known from the other nodes.
+    };
+
+    /** Returns the load of the other nodes by the server's own answer, whose weight is \a freshness, and by the other nodes' reports. */
+    [[nodiscard]] auto estimateOthers(const BackendServer&, const ServerState&, double freshness, TimePoint) const -> OthersEstimate;
+
     [[nodiscard]] auto costOf(const RoutingRequest&, const BackendServer&, std::span<const std::uint64_t> prefixes, bool isHome, TimePoint) -> double;
 
     /** Returns whether the server is an engine for long streams and the request is no long stream, or the reverse. */
@@ -98,6 +116,7 @@
     std::unordered_map<std::uint64_t, OpenRequest> openRequests;
     std::unordered_map<std::string, std::deque<double>> prefillRates; ///< Prefill rates of the latest long prompts in tokens per second, by pool.
     std::set<std::string> streamEngines;
+    const OtherLoadSource* otherLoads = nullptr;
     std::minstd_rand random;
 };
 
--- a/tests/fuzz/fleetsamples.h
+++ b/tests/fuzz/fleetsamples.h
@@ -21,6 +21,7 @@
     report.services = { { "llm", 8'000, 30'000, 5, 1, 2, 41.5 } };
     report.limits = { { 7, 2.5F, 300ms } };
     report.limitsDigest = 9;
+    report.loads = { { 7, 3, 2'400 }, { 0xffffffff, 1, 0 } };
     report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 5, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms } } } }, { { 5, 1s }, { 6, std::nullopt } }, { { 9, 10min } } } };
     auto& answer = messages[1].answer.emplace();
     answer.shares = { { "salon", 0.25 } };
@@ -30,6 +31,7 @@
     answer.permits = { { 7, 3 } };
     answer.hasLimits = true;
     answer.limits = { { 7, 2.5F, 300ms } };
+    answer.load = { { { 7, 30, 9'000 } }, { { "llm", 2.5, 400 } }, { { "llm", "north-a", 12, 384, 70, 9'000, 4, 41.5 } } };
     answer.prompts = { { "llm", { 5 }, { { 9, 599'999ms } } } };
     messages[2].quotaRequest = { 4, "salon", 1'460 };
     messages[3].quotaReply = { 4, QuotaVerdict::Refused, 250ms };
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -189,6 +189,66 @@
     CHECK_FALSE(decodeFleetMessage(encodeFleetMessage(relayed)).has_value());
 }
 
+TEST_CASE("loads arrive as they were sent, brought into range")
+{
+    FleetMessage message;
+    message.report = makeReport();
+    message.report->loads = { { 0xfffffffe, 3, 128'000 }, { 127, 300, 0 }, { 1, -1, std::numeric_limits<std::int64_t>::max() } };
+    message.answer = makeAnswer();
+    const LoadAnswer load { { { 0x80000000, 300, 1'000'000 } }, { { "llm", 12.25, 800 }, { "plain", 0.5, 0 } },
+        { { "llm", "north-a", 30, 960, 700, 81'000, 12, 41.5 }, { "plain", "north-b", 2, 12, 1, 0, 0, 0 } } };
+    message.answer->load = load;
+    message.answer->load->means[1].openRequests = std::numeric_limits<double>::quiet_NaN();
+    message.answer->load->rooms[1].requestsPerSecond = std::numeric_limits<double>::infinity();
+    const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->report->loads == std::vector<ServerLoad> { { 0xfffffffe, 3, 128'000 }, { 127, 300, 0 }, { 1, 0, 1'000'000'000'000 } });
+    REQUIRE(decoded->answer->load.has_value());
+    CHECK(decoded->answer->load->busiest == load.busiest);
+    CHECK(decoded->answer->load->means[0] == load.means[0]);
+    CHECK(decoded->answer->load->means[1].openRequests == 0);
+    CHECK(decoded->answer->load->rooms[0] == load.rooms[0]);
+    CHECK(decoded->answer->load->rooms[1].requestsPerSecond == 1e10);
+}
+
+/** Bytes after a small report without loads, and whether the message is read. */
+struct BlockCase {
+    const char* name;
+    std::string bytes;
+    bool isRead;
+    bool hasLoads;
+};
+
+const BlockCase blockCases[] = {
+    { "no block, as nodes of earlier versions send", "", true, false },
+    { "loads", std::string("\1\7\1abcd\5\6", 9), true, true },
+    { "an empty list of loads", std::string("\1\1\0", 3), true, true },
+    { "an answer in a report", std::string("\2\4\0\0\0\0", 6), true, false },
+    { "a block of a kind that later versions may have", std::string("\x7f\2ab", 4), true, false },
+    { "such a block before loads", std::string("\x7f\2ab\1\1\0", 7), true, true },
+    { "a kind without a length", "\1", false, false },
+    { "a length beyond the end", "\1\7\1abcd", false, false },
+    { "a list that is longer than its block", std::string("\1\7\2abcd\5\6", 9), false, false },
+    { "a number without an end", std::string(16, '\xff'), false, false },
+};
+
+// Guards against nodes of two versions that do not hear each other during an update, and against loads that are read from damaged bytes.
+TEST_CASE("blocks after the message are read, skipped or refused as a whole")
+{
+    FleetMessage message;
+    message.sender = "edge-1";
+    message.report.emplace().zone = "a";
+    const auto plain = encodeFleetMessage(message);
+    REQUIRE(plain.front() == '\0');
+    for (const auto& row : blockCases) {
+        CAPTURE(row.name);
+        const auto decoded = decodeFleetMessage(plain + row.bytes);
+        REQUIRE(decoded.has_value() == row.isRead);
+        if (row.isRead)
+            CHECK(decoded->report->loads.has_value() == row.hasLoads);
+    }
+}
+
 /** A node of a large fleet has a few requests of a few workspaces between two reports. */
 TEST_CASE("a report of a node in a large fleet fits into a small datagram")
 {
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -99,6 +99,7 @@
     { "a duration beyond the range", "/bounds/drain", "1e300s", "/bounds/drain" },
     { "a ratio above one", "/bounds/attempt_ratio", 2, "/bounds/attempt_ratio" },
     { "an unknown field", "/bounds/colour", "red", "/bounds/colour" },
+    { "a shared load that is no boolean", "/load/shared", "yes", "/load/shared" },
     { "an unknown log level", "/log_level", "loud", "/log_level" },
     { "a revocation time that is shorter than the time for changes", "/bounds/revocation", "1s", "/bounds/revocation" },
 };
@@ -140,6 +141,8 @@
     { "quota excess", "/bounds/quota_excess", 0.2, true, {} },
     { "quota slack", "/bounds/quota_slack", 0, true, {} },
     { "heartbeat", "/bounds/heartbeat", "2s", true, {} },
+    { "shared load", "/load/shared", true, true, { "/load/shared" } },
+    { "the default of the shared load", "/load/shared", false, false, {} },
     { "log level", "/log_level", "warn", true, { "/log_level" } },
     { "id", "/node/id", "n2", false, { "/node/id" } },
     { "zone", "/node/zone", "b", false, { "/node/zone" } },
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -193,4 +193,60 @@
     CHECK(policy.knownServers() == 0);
 }
 
+/** Load of the other nodes as a test states it. */
+class StatedLoads : public OtherLoadSource {
+public:
+    [[nodiscard]] auto othersAt(const BackendServer& server, TimePoint) const -> std::optional<OtherLoad> override
+    {
+        const auto found = this->loads.find(server.id);
+        return found == this->loads.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    std::map<std::string, OtherLoad> loads;
+};
+
+/** What is known of two engines, of which the first one answered with 20 running requests at the start. */
+struct OthersCase {
+    const char* name;
+    OtherLoad atFirst;
+    OtherLoad atSecond;
+    int chosen;
+};
+
+const OthersCase othersCases[] = {
+    { "the report is newer than the answer", { 0, 0, 1, start + 100ms }, { 10, 0, 1, start + 100ms }, 0 },
+    { "the report is older than the answer", { 0, 0, 1, start - 100ms }, { 10, 0, 1, start - 100ms }, 1 },
+    { "the report has lost its weight", { 0, 0, 0, start + 100ms }, { 10, 0, 0, start + 100ms }, 1 },
+    { "prompts that are yet to be prefilled", { 0, 5'000, 1, start + 100ms }, { 20, 0, 1, start + 100ms }, 1 },
+};
+
+// Guards against an answer of seconds ago that outweighs what the other nodes report now, and the reverse.
+TEST_CASE("the newer of an engine's answer and the other nodes' reports decides")
+{
+    const Pool pool(2, BackendKind::Engine);
+    for (const auto& row : othersCases) {
+        CAPTURE(row.name);
+        StatedLoads stated;
+        stated.loads = { { "s0", row.atFirst }, { "s1", row.atSecond } };
+        CacheAwarePolicy policy(1);
+        policy.setOtherLoads(&stated);
+        policy.loadObserved(pool.servers[0], { 20, 0, 64, 100 }, start);
+        CHECK(policy.choose(makeRequest(1, {}), pool.pointers, start + 200ms) == &pool.servers[static_cast<std::size_t>(row.chosen)]);
+    }
+}
+
+TEST_CASE("a node reports the requests and tokens that it has open at each server")
+{
+    const Pool pool(2, BackendKind::Engine);
+    CacheAwarePolicy policy(1);
+    const std::vector<PromptPart> parts { { 1, 300 }, { 2, 200 } };
+    policy.requestSent(makeRequest(1, parts), pool.servers[0], start);
+    policy.requestSent(makeRequest(2, {}), pool.servers[0], start);
+    policy.requestSent(makeRequest(3, {}), pool.servers[1], start);
+    policy.requestEnded(makeRequest(3, {}), pool.servers[1], AttemptEnd::Finished, start);
+    CHECK(policy.ownLoads() == std::vector<ServerLoad> { { loadKeyOf("s0"), 2, 500 } });
+    policy.firstPieceReceived(makeRequest(1, parts), pool.servers[0], start);
+    CHECK(policy.ownLoads() == std::vector<ServerLoad> { { loadKeyOf("s0"), 2, 0 } });
+}
+
 } // namespace
