--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -102,6 +102,7 @@
     reader.object("systems", [&settings](JsonReader& systems) { readSystems(systems, settings); });
     reader.optionalObject("bounds", [&settings](JsonReader& bounds) { readBounds(bounds, settings.bounds); });
     reader.optionalObject("load", [&settings](JsonReader& load) { load.boolean("shared", settings.sharesLoad); });
+    reader.optionalObject("admission", [&settings](JsonReader& admission) { admission.boolean("enabled", settings.admission.enabled); });
     reader.optionalString("log_level", settings.logLevel);
     if (!isKnownLevel(settings.logLevel))
         reader.report("log_level", "expected one of debug info warn error");
@@ -133,6 +134,7 @@
                 { "heartbeat", bounds.heartbeat.count() },
             } },
         { "load", { { "shared", settings.sharesLoad } } },
+        { "admission", { { "enabled", settings.admission.enabled } } },
         { "log_level", settings.logLevel },
     };
 }
@@ -165,6 +167,7 @@
         { "/systems/key_value_service", current.keyValueService == next.keyValueService },
         { "/systems/fleet_api", current.fleetApi == next.fleetApi },
         { "/load/shared", current.sharesLoad == next.sharesLoad },
+        { "/admission/enabled", current.admission.enabled == next.admission.enabled },
         { "/log_level", current.logLevel == next.logLevel },
     };
     std::vector<std::string> paths;
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -108,14 +108,19 @@
     return server.kind == BackendKind::Engine && !this->streamEngines.empty() && isLongStream(request) != this->streamEngines.contains(server.id);
 }
 
+auto CacheAwarePolicy::freshnessOf(const ServerState& state, TimePoint now) -> double
+{
+    const auto age = std::chrono::duration<double>(now - state.observedAt) / std::chrono::duration<double>(loadLifetime);
+    return state.observedAt == TimePoint {} ? 0.0 : std::max(0.0, 1 - age);
+}
+
 auto CacheAwarePolicy::costOf(
     const RoutingRequest& request, const BackendServer& server, std::span<const std::uint64_t> prefixes, bool isHome, TimePoint now) -> double
 {
     static const ServerState idle;
     const auto found = this->servers.find(server.id);
     const auto& state = found == this->servers.end() ? idle : found->second;
-    const auto age = std::chrono::duration<double>(now - state.observedAt) / std::chrono::duration<double>(loadLifetime);
-    const auto freshness = state.observedAt == TimePoint {} ? 0.0 : std::max(0.0, 1 - age);
+    const auto freshness = freshnessOf(state, now);
     const auto others = this->estimateOthers(server, state, freshness, now);
     const auto slowness = this->slowdowns.slowness(server) * (1 + freshness * (state.machineSlowness - 1));
 
@@ -281,6 +286,16 @@
     return this->uncachedTokens(request, found == this->servers.end() ? unknown : found->second, prefixHashes(request.promptParts), true, now);
 }
 
+auto CacheAwarePolicy::expectedLoad(const BackendServer& server, TimePoint now) const -> ExpectedLoad
+{
+    static const ServerState unknown;
+    const auto found = this->servers.find(server.id);
+    const auto& state = found == this->servers.end() ? unknown : found->second;
+    const auto freshness = freshnessOf(state, now);
+    const auto others = this->estimateOthers(server, state, freshness, now);
+    return { static_cast<double>(state.running) + others.requests, static_cast<double>(state.pendingPrefillTokens) + others.pendingPrefillTokens, freshness > 0 };
+}
+
 auto CacheAwarePolicy::clearCache(const std::string& id) -> void
 {
     const auto found = this->servers.find(id);
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -100,6 +100,8 @@
     { "a ratio above one", "/bounds/attempt_ratio", 2, "/bounds/attempt_ratio" },
     { "an unknown field", "/bounds/colour", "red", "/bounds/colour" },
     { "a shared load that is no boolean", "/load/shared", "yes", "/load/shared" },
+    { "a switch that is no boolean", "/admission/enabled", "yes", "/admission/enabled" },
+    { "an unknown field of admission", "/admission/colour", "red", "/admission/colour" },
     { "an unknown log level", "/log_level", "loud", "/log_level" },
     { "a revocation time that is shorter than the time for changes", "/bounds/revocation", "1s", "/bounds/revocation" },
 };
@@ -143,6 +145,8 @@
     { "heartbeat", "/bounds/heartbeat", "2s", true, {} },
     { "shared load", "/load/shared", true, true, { "/load/shared" } },
     { "the default of the shared load", "/load/shared", false, false, {} },
+    { "admission", "/admission/enabled", true, true, { "/admission/enabled" } },
+    { "admission that is off by default", "/admission/enabled", false, false, {} },
     { "log level", "/log_level", "warn", true, { "/log_level" } },
     { "id", "/node/id", "n2", false, { "/node/id" } },
     { "zone", "/node/zone", "b", false, { "/node/zone" } },
