Load: Kept nodes from all turning to the same server between two answers

In the simulation of 77 nodes and 90 engines, one request in eleven still waited for longer than 0.5 s with shared load: engines went from 14 to 58 open requests within a second, from all nodes and with all prompts. They had been listed as busy, had become less busy than the mean, and were the only ones known to be. Servers that are listed now count at least the mean, and a request leaves room at its prompt's home for a part, drawn at random, of what the other nodes send there until the next answers.

--- a/src/gateway/loadmessage.cpp
+++ b/src/gateway/loadmessage.cpp
@@ -215,6 +215,7 @@
         names.writeIndex(writer, mean.service);
         writer.fraction(mean.openRequests);
         writer.fraction(mean.pendingPrefillTokens);
+        writer.fraction(mean.requestsPerSecond);
     }
     writer.number(answer.rooms.size());
     for (const auto& room : answer.rooms) {
@@ -237,6 +238,7 @@
         mean.service = names.readName(reader);
         mean.openRequests = reader.fraction();
         mean.pendingPrefillTokens = reader.fraction();
+        mean.requestsPerSecond = reader.fraction();
     }
     answer.rooms.resize(reader.size());
     for (auto& room : answer.rooms) {
--- a/src/load/loadaccount.cpp
+++ b/src/load/loadaccount.cpp
@@ -1,7 +1,8 @@
 #include "loadaccount.h"
 
 #include <algorithm>
-#include <cmath>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 using namespace std::chrono_literals;
@@ -140,8 +141,12 @@
         }
     }
     this->zoneRooms.clear();
-    for (auto& [key, room] : rooms)
+    for (auto& [key, room] : rooms) {
+        const auto total = this->totals.find(room.service);
+        if (total != this->totals.end())
+            total->second.requestsPerSecond += room.requestsPerSecond;
         this->zoneRooms.push_back(std::move(room));
+    }
 }
 
 auto LoadAccount::sumAt(std::uint32_t key) const -> ServerLoad
@@ -168,12 +173,12 @@
         return std::nullopt;
     const auto& node = found->second;
     LoadAnswer answer;
-    for (const auto isOwnZone : { true, false }) {
-        for (const auto& room : this->zoneRooms) {
-            if ((room.zone == node.zone) == isOwnZone && answer.rooms.size() < maxAnsweredRooms)
-                answer.rooms.push_back(room);
-        }
+    for (const auto& room : this->zoneRooms) {
+        if (room.zone == node.zone && answer.rooms.size() < maxAnsweredRooms)
+            answer.rooms.push_back(room);
     }
+    if (this->zoneRooms.size() <= maxAnsweredRooms)
+        std::copy_if(this->zoneRooms.begin(), this->zoneRooms.end(), std::back_inserter(answer.rooms), [&node](const ZoneRoom& room) { return room.zone != node.zone; });
     if (this->nodes.size() < minNodes)
         return answer;
     std::map<std::string, Load> own;
@@ -198,7 +203,7 @@
         const auto& ownTotal = own[service];
         const auto count = static_cast<double>(total.servers);
         answer.means.push_back({ service, static_cast<double>(std::max<std::int64_t>(0, total.load.openRequests - ownTotal.openRequests)) / count,
-            static_cast<double>(std::max<std::int64_t>(0, total.load.pendingPrefillTokens - ownTotal.pendingPrefillTokens)) / count });
+            static_cast<double>(std::max<std::int64_t>(0, total.load.pendingPrefillTokens - ownTotal.pendingPrefillTokens)) / count, total.requestsPerSecond });
     }
     return answer;
 }
--- a/src/load/loadaccount.h
+++ b/src/load/loadaccount.h
@@ -27,7 +27,7 @@
 
     static constexpr std::size_t maxReportedServers = 64; ///< Servers that one report lists at most.
     static constexpr std::size_t maxBusiestServers = 48; ///< Servers of all services together that are listed as busy.
-    static constexpr std::size_t maxAnsweredRooms = 24; ///< Rooms in one answer.
+    static constexpr std::size_t maxAnsweredRooms = 16; ///< Rooms in one answer; when there are more, those of the other zones are left out.
     static constexpr std::size_t minNodes = 4; ///< Nodes below which a node's own observations cover the load well enough.
 
     /** Discards all reports, when this node begins to lead at \a now. */
@@ -79,6 +79,7 @@
     struct ServiceTotal {
         std::int64_t servers = 0;
         Load load;
+        double requestsPerSecond = 0; ///< Of callers at all nodes.
 
         [[nodiscard]] auto meanCost() const -> double;
     };
--- a/src/load/loadanswer.h
+++ b/src/load/loadanswer.h
@@ -7,11 +7,12 @@
 
 namespace Primrosefork {
 
-/** Mean load of the live servers of a service. */
+/** Mean load of the live servers of a service, and its callers' requests. */
 struct MeanLoad {
     std::string service;
     double openRequests = 0;
     double pendingPrefillTokens = 0;
+    double requestsPerSecond = 0; ///< Requests that callers send to all nodes per second.
 
     auto operator==(const MeanLoad&) const -> bool = default;
 };
@@ -34,7 +35,7 @@
 struct LoadAnswer {
     std::vector<ServerLoad> busiest; ///< Load of the other nodes at the servers that are above the mean of their service, the largest excess first.
     std::vector<MeanLoad> means; ///< Mean load of the other nodes; empty with too few nodes.
-    std::vector<ZoneRoom> rooms; ///< Over all nodes, the node's own zone first.
+    std::vector<ZoneRoom> rooms; ///< Over all nodes, the node's own zone first; of many rooms, only those of the own zone.
 
     auto operator==(const LoadAnswer&) const -> bool = default;
 };
--- a/src/load/loadview.cpp
+++ b/src/load/loadview.cpp
@@ -34,6 +34,12 @@
     this->ownPerSecond.clear();
     for (const auto& entry : demand)
         this->ownPerSecond[entry.service] = entry.requestsPerSecond;
+    this->othersPerOwn.clear();
+    for (const auto& [service, mean] : this->means) {
+        const auto own = this->ownPerSecond.find(service);
+        if (own != this->ownPerSecond.end() && own->second > 0)
+            this->othersPerOwn[service] = std::max(0.0, mean.requestsPerSecond / own->second - 1);
+    }
     return true;
 }
 
@@ -53,12 +59,17 @@
     const auto mean = this->means.find(server.pool);
     if (mean == this->means.end())
         return std::nullopt;
+    const auto ratio = this->othersPerOwn.find(server.pool);
+    const auto othersPerOwn = ratio == this->othersPerOwn.end() ? 0 : ratio->second;
+    // A server that is not listed is at most as busy as the mean, and one that was listed may have become less busy since. None is
+    // shown below the mean: in a simulation of 77 nodes, all of them turned to such a server within one report period.
+    OtherLoad others { mean->second.openRequests, mean->second.pendingPrefillTokens, othersPerOwn, weight, *this->answered };
     const auto load = this->listed.find(loadKeyOf(server.id));
-    if (load != this->listed.end())
-        return OtherLoad { static_cast<double>(load->second.openRequests), static_cast<double>(load->second.pendingPrefillTokens), weight, *this->answered };
-    // A server that is not listed is at most as busy as the mean. The mean makes the cost continuous
-    // at the edge of the list; with 0, all nodes would turn to the same unlisted servers at once.
-    return OtherLoad { mean->second.openRequests, mean->second.pendingPrefillTokens, weight, *this->answered };
+    if (load != this->listed.end()) {
+        others.openRequests = std::max(others.openRequests, static_cast<double>(load->second.openRequests));
+        others.pendingPrefillTokens = std::max(others.pendingPrefillTokens, static_cast<double>(load->second.pendingPrefillTokens));
+    }
+    return others;
 }
 
 auto LoadView::room(const std::string& service, const std::string& zone, TimePoint now) const -> std::optional<ZoneRoom>
--- a/src/load/otherloadsource.h
+++ b/src/load/otherloadsource.h
@@ -11,6 +11,7 @@
 struct OtherLoad {
     double openRequests = 0; ///< Requests that they sent to the server and that have not ended.
     double pendingPrefillTokens = 0; ///< Prompt tokens of these requests that the server has yet to prefill.
+    double othersPerOwn = 0; ///< Requests for the service that callers send to the other nodes for each one to this node; 0 when not known.
     double weight = 0; ///< Confidence in the values, from 1 (recent) down to 0 (expired).
     std::chrono::steady_clock::time_point reportedAt; ///< Time at which this node sent the report that was answered with the values.
 };
--- a/src/measure/decide/main.cpp
+++ b/src/measure/decide/main.cpp
@@ -1,6 +1,7 @@
 #include "hash.h"
 #include "leastcostpolicy.h"
 #include "process.h"
+#include "sharedload.h"
 
 #include <algorithm>
 #include <array>
@@ -172,8 +173,10 @@
     const auto growth = hasCounts ? static_cast<double>(instructions.back()) / static_cast<double>(instructions.front()) : times.back() / times.front();
     int passed = printTarget(times.back() <= maxDecisionMicroseconds, "microseconds per decision among 1500 engines", times.back(), maxDecisionMicroseconds);
     passed += printTarget(growth < growthOfEngines, "growth of the cost of a decision from 12 to 1500 engines", growth, growthOfEngines);
-    std::printf("%d passed, %d failed\n", passed, 2 - passed);
-    return passed == 2 ? EXIT_SUCCESS : EXIT_FAILURE;
+    passed += measureSharedLoad();
+    constexpr int targets = 2 + sharedLoadTargets;
+    std::printf("%d passed, %d failed\n", passed, targets - passed);
+    return passed == targets ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 auto runProgram(int argc, char** argv) -> int
--- /dev/null
+++ b/src/measure/decide/sharedload.cpp
@@ -0,0 +1,161 @@
+#include "sharedload.h"
+
+#include "cacheawarepolicy.h"
+#include "fleetmessage.h"
+#include "loadaccount.h"
+#include "loadview.h"
+#include "serverindex.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Primrosefork {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t engineCount = 1'500;
+constexpr std::size_t nodeCount = 340;
+constexpr std::size_t zoneCount = 16;
+constexpr std::size_t serviceCount = 3;
+constexpr std::size_t openPerNode = 22; ///< Open requests of a node: 1,500 requests a second of five seconds each, over 340 nodes.
+constexpr int decisions = 20'000;
+constexpr int repeats = 9;
+constexpr double reportsPerSecond = 2;
+constexpr double maxDecisionMicroseconds = 20;
+constexpr double maxBytesPerSecond = 3'000; ///< For all control of one node; the loads are a part of it.
+
+auto makeEngines() -> BackendServers
+{
+    BackendServers engines;
+    for (std::size_t index = 0; index < engineCount; ++index) {
+        BackendServer server;
+        server.id = "i-" + std::to_string(100'000 + index);
+        server.pool = "llm-" + std::to_string(index % serviceCount);
+        server.zone = "region-" + std::to_string(index % zoneCount);
+        server.slots = 32;
+        engines[server.id] = server;
+    }
+    return engines;
+}
+
+/** Returns the load of one node with openPerNode requests at random engines. */
+auto makeNodeLoad(const std::vector<const BackendServer*>& engines, std::size_t node, std::minstd_rand& random) -> NodeLoad
+{
+    NodeLoad load;
+    load.zone = "region-" + std::to_string(node % zoneCount);
+    for (std::size_t request = 0; request < openPerNode; ++request)
+        load.servers.push_back({ loadKeyOf(engines[random() % engines.size()]->id), 1, request < 3 ? static_cast<std::int64_t>(random() % 4'000) : 0 });
+    for (std::size_t service = 0; service < serviceCount; ++service)
+        load.demand.push_back({ "llm-" + std::to_string(service), 0, 1.47 });
+    return load;
+}
+
+/** Returns the median duration of a decision, from the sampled candidates to the server, in microseconds. */
+auto medianDecision(const ServerIndex& index, const OtherLoadSource* loads, Clock::time_point now) -> double
+{
+    std::vector<double> times;
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+        CacheAwarePolicy policy(1);
+        policy.setOtherLoads(loads);
+        std::minstd_rand random(1);
+        std::deque<std::pair<RoutingRequest, const BackendServer*>> open;
+        const auto begin = Clock::now();
+        for (int decision = 0; decision < decisions; ++decision) {
+            const std::vector<PromptPart> parts { { 1 + random() % 300, 1'500 }, { random(), 500 } };
+            RoutingRequest request;
+            request.id = static_cast<std::uint64_t>(decision) + 1;
+            request.promptTokens = 2'000;
+            request.zone = "region-1";
+            request.promptParts = parts;
+            const auto candidates = index.candidates(homePrefixOf(request), false, random);
+            const auto* server = policy.choose(request, candidates, now);
+            policy.requestSent(request, *server, now);
+            request.promptParts = {};
+            open.emplace_back(request, server);
+            if (open.size() > openPerNode) {
+                policy.requestEnded(open.front().first, *open.front().second, AttemptEnd::Finished, now);
+                open.pop_front();
+            }
+        }
+        times.push_back(std::chrono::duration<double, std::micro>(Clock::now() - begin).count() / decisions);
+    }
+    std::nth_element(times.begin(), times.begin() + repeats / 2, times.end());
+    return times[repeats / 2];
+}
+
+auto bytesOf(const FleetMessage& message) -> double
+{
+    return static_cast<double>(encodeFleetMessage(message).size());
+}
+
+auto printRow(bool holds, const char* name, double figure, double bound) -> int
+{
+    std::printf("%-6s %s: %.2f, at most %.2f\n", holds ? "holds" : "missed", name, figure, bound);
+    return holds ? 1 : 0;
+}
+
+} // namespace
+
+auto measureSharedLoad() -> int
+{
+    const auto engines = makeEngines();
+    std::vector<const BackendServer*> all;
+    for (const auto& [id, server] : engines)
+        all.push_back(&server);
+    std::minstd_rand random(1);
+    LoadAccount account;
+    const Clock::time_point now { 1h };
+    account.begin(now);
+    account.setServers(engines);
+    std::vector<NodeLoad> loads;
+    for (std::size_t node = 0; node < nodeCount; ++node)
+        loads.push_back(makeNodeLoad(all, node, random));
+    for (std::size_t node = 0; node < nodeCount; ++node)
+        account.reportReceived("node" + std::to_string(node), loads[node], now);
+    account.update(nodeCount, now);
+
+    const auto begin = Clock::now();
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t node = 0; node < nodeCount; ++node) {
+            const auto id = "node" + std::to_string(node);
+            account.reportReceived(id, loads[node], now);
+            static_cast<void>(account.answerFor(id));
+        }
+        account.update(nodeCount, now);
+    }
+    const auto leaderPercent = std::chrono::duration<double>(Clock::now() - begin).count() / 20 * reportsPerSecond * 100;
+
+    FleetMessage report;
+    report.report.emplace();
+    FleetMessage answer;
+    answer.answer.emplace();
+    const auto plainBytes = bytesOf(report) + bytesOf(answer);
+    report.report->loads = loads.front().servers;
+    answer.answer->load = account.answerFor("node0");
+    const auto reportBytes = bytesOf(report);
+    const auto answerBytes = bytesOf(answer);
+    const auto perSecond = reportsPerSecond * (reportBytes + answerBytes - plainBytes);
+
+    LoadView view("region-1");
+    static_cast<void>(view.answerReceived(*answer.answer->load, loads.front().demand, now));
+    const ServerIndex index(all);
+    std::printf("\nshared load at %zu nodes and %zu engines\n", nodeCount, engineCount);
+    const auto alone = medianDecision(index, nullptr, now);
+    const auto shared = medianDecision(index, &view, now);
+    std::printf("choice of a server among the candidates of %zu engines: %.2f us without, %.2f us with shared load\n", engineCount, alone, shared);
+    std::printf("the leader's sums and answers: %.2f%% of a core\n", leaderPercent);
+    std::printf("loads in a report and its answer: %.0f bytes a second for each node (%zu servers reported, %zu listed, %zu rooms)\n", perSecond,
+        report.report->loads->size(), answer.answer->load->busiest.size(), answer.answer->load->rooms.size());
+    return printRow(shared <= maxDecisionMicroseconds, "microseconds per decision with shared load", shared, maxDecisionMicroseconds)
+        + printRow(perSecond <= maxBytesPerSecond, "bytes of loads per second and node", perSecond, maxBytesPerSecond);
+}
+
+} // namespace Primrosefork
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -4,6 +4,7 @@
 #include "serverindex.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 
@@ -24,6 +25,8 @@
 constexpr int errorsBeforeAvoidance = 2; ///< Consecutive errors after which a server is avoided for a while; on a service that fails one request in seven, two in a row occur by chance in one pair of fifty.
 constexpr std::size_t purgeThreshold = 4'096; ///< Cached prefixes of one server above which expired ones are removed.
 constexpr std::int64_t minMeasuredTokens = 1'000; ///< Length of a prompt's last part, in tokens, from which its prefill outweighs the rest of the time to the first piece.
+constexpr auto homeRateTime = 5s; ///< Time constant of the rate of requests with one home.
+constexpr auto reportDelay = 600ms; ///< Time for which requests at a server are missing in the reports of all nodes.
 constexpr std::size_t maxRateSamples = 64; ///< Latest prefill rates that are kept for each pool.
 constexpr std::size_t minRateSamples = 8; ///< Measured prefill rates needed before the rate of a pool is known.
 constexpr double idleRateQuantile = 0.9; ///< Quantile of the measured rates that is taken as the rate of an otherwise idle engine.
@@ -97,6 +100,8 @@
             bestCost = cost;
         }
     }
+    if (home && best && this->otherLoads)
+        this->recordHome(*home, now);
     if (best || candidates.empty())
         return best;
     // All candidates failed recently, so that the failures do not tell them apart.
@@ -116,10 +121,10 @@
     const auto& state = found == this->servers.end() ? idle : found->second;
     const auto age = std::chrono::duration<double>(now - state.observedAt) / std::chrono::duration<double>(loadLifetime);
     const auto freshness = state.observedAt == TimePoint {} ? 0.0 : std::max(0.0, 1 - age);
-    const auto others = this->estimateOthers(server, state, freshness, now);
+    const auto others = this->estimateOthers(server, state, freshness, isHome, now);
     const auto slowness = this->slowdowns.slowness(server) * (1 + freshness * (state.machineSlowness - 1));
 
-    auto cost = jitterTokens * static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
+    auto cost = jitterTokens * this->uniform();
     if (server.zone != request.zone)
         cost += otherZoneTokens;
     if (this->isMismatched(request, server))
@@ -133,23 +138,47 @@
     return cost + slowness * (runningRequestTokens * (static_cast<double>(state.running) + others.requests) + waitingRequestTokens * others.waiting + others.pendingPrefillTokens);
 }
 
-auto CacheAwarePolicy::estimateOthers(const BackendServer& server, const ServerState& state, double freshness, TimePoint now) const -> OthersEstimate
+auto CacheAwarePolicy::estimateOthers(const BackendServer& server, const ServerState& state, double freshness, bool isHome, TimePoint now) -> OthersEstimate
 {
     const OthersEstimate observed { freshness * static_cast<double>(state.otherRequests), freshness * static_cast<double>(state.otherWaiting), 0 };
     const auto reported = this->otherLoads ? this->otherLoads->othersAt(server, now) : std::nullopt;
     if (!reported)
         return observed;
     // Requests beyond the slots of an engine wait until one is free; the cost of a plain server has them already.
-    const auto open = static_cast<double>(state.running) + reported->openRequests;
+    // All nodes send the same prompts home, and each learns of the others' requests only with the next answers. This request is as
+    // likely to be the first as the last of these, so that the nodes together fill up the room that is left, but not more.
+    auto openRequests = reported->openRequests;
+    if (isHome)
+        openRequests += this->uniform() * this->homeRate(state, now) * reported->othersPerOwn * std::chrono::duration<double>(reportDelay).count();
+    const auto open = static_cast<double>(state.running) + openRequests;
     const auto waiting = server.kind == BackendKind::Engine ? std::max(0.0, open - static_cast<double>(server.slots)) : 0;
     // The newer of the two counts, and as it gets old the other one fills the rest of its weight.
     const auto isOlder = reported->reportedAt < state.observedAt;
     const auto observedWeight = isOlder ? 1 : 1 - reported->weight;
     const auto reportedWeight = isOlder ? (1 - freshness) * reported->weight : reported->weight;
-    return { observedWeight * observed.requests + reportedWeight * reported->openRequests, observedWeight * observed.waiting + reportedWeight * waiting,
+    return { observedWeight * observed.requests + reportedWeight * openRequests, observedWeight * observed.waiting + reportedWeight * waiting,
         reportedWeight * reported->pendingPrefillTokens };
 }
 
+auto CacheAwarePolicy::uniform() -> double
+{
+    return static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
+}
+
+auto CacheAwarePolicy::homeRate(const ServerState& state, TimePoint now) const -> double
+{
+    using Seconds = std::chrono::duration<double>;
+    return state.homeRequests * std::exp(-(Seconds(now - state.lastHomeRequest) / Seconds(homeRateTime))) / Seconds(homeRateTime).count();
+}
+
+auto CacheAwarePolicy::recordHome(const BackendServer& server, TimePoint now) -> void
+{
+    using Seconds = std::chrono::duration<double>;
+    auto& state = this->servers[server.id];
+    state.homeRequests = 1 + state.homeRequests * std::exp(-(Seconds(now - state.lastHomeRequest) / Seconds(homeRateTime)));
+    state.lastHomeRequest = now;
+}
+
 auto CacheAwarePolicy::ownLoads() const -> std::vector<ServerLoad>
 {
     std::vector<ServerLoad> loads;
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -88,6 +88,8 @@
         bool isRemoved = false; ///< The server is not registered any more.
         int consecutiveErrors = 0; ///< Errors since a request last ended in another way.
         double machineSlowness = 1; ///< Factor by which the server's machine is slowed, as of the last observed load; 1 is its usual speed.
+        double homeRequests = 0; ///< Requests whose home is the server, with a weight that falls with their age.
+        TimePoint lastHomeRequest;
         TimePoint observedAt; ///< Time of the last observed load.
         std::unordered_map<std::uint64_t, TimePoint> cachedPrefixes; ///< Prefixes of this node's prompts that the server prefilled, with the time of their last use.
     };
@@ -100,7 +102,12 @@
     };
 
     /** Returns the load of the other nodes by the server's own answer, whose weight is \a freshness, and by the other nodes' reports. */
-    [[nodiscard]] auto estimateOthers(const BackendServer&, const ServerState&, double freshness, TimePoint) const -> OthersEstimate;
+    [[nodiscard]] auto estimateOthers(const BackendServer&, const ServerState&, double freshness, bool isHome, TimePoint) -> OthersEstimate;
+
+    /** Returns how many requests of this node per second have the server as their home. */
+    [[nodiscard]] auto homeRate(const ServerState&, TimePoint) const -> double;
+    [[nodiscard]] auto uniform() -> double; ///< Returns a random number from 0 to 1.
+    auto recordHome(const BackendServer&, TimePoint) -> void;
 
     [[nodiscard]] auto costOf(const RoutingRequest&, const BackendServer&, std::span<const std::uint64_t> prefixes, bool isHome, TimePoint) -> double;
 
--- a/tests/fuzz/fleetsamples.h
+++ b/tests/fuzz/fleetsamples.h
@@ -31,7 +31,7 @@
     answer.permits = { { 7, 3 } };
     answer.hasLimits = true;
     answer.limits = { { 7, 2.5F, 300ms } };
-    answer.load = { { { 7, 30, 9'000 } }, { { "llm", 2.5, 400 } }, { { "llm", "north-a", 12, 384, 70, 9'000, 4, 41.5 } } };
+    answer.load = { { { 7, 30, 9'000 } }, { { "llm", 2.5, 400, 41.5 } }, { { "llm", "north-a", 12, 384, 70, 9'000, 4, 41.5 } } };
     answer.prompts = { { "llm", { 5 }, { { 9, 599'999ms } } } };
     messages[2].quotaRequest = { 4, "salon", 1'460 };
     messages[3].quotaReply = { 4, QuotaVerdict::Refused, 250ms };
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -195,7 +195,7 @@
     message.report = makeReport();
     message.report->loads = { { 0xfffffffe, 3, 128'000 }, { 127, 300, 0 }, { 1, -1, std::numeric_limits<std::int64_t>::max() } };
     message.answer = makeAnswer();
-    const LoadAnswer load { { { 0x80000000, 300, 1'000'000 } }, { { "llm", 12.25, 800 }, { "plain", 0.5, 0 } },
+    const LoadAnswer load { { { 0x80000000, 300, 1'000'000 } }, { { "llm", 12.25, 800, 57.5 }, { "plain", 0.5, 0, 1 } },
         { { "llm", "north-a", 30, 960, 700, 81'000, 12, 41.5 }, { "plain", "north-b", 2, 12, 1, 0, 0, 0 } } };
     message.answer->load = load;
     message.answer->load->means[1].openRequests = std::numeric_limits<double>::quiet_NaN();
--- a/tests/load/test_loadaccount.cpp
+++ b/tests/load/test_loadaccount.cpp
@@ -133,7 +133,7 @@
     REQUIRE(other.has_value());
     CHECK(other->busiest == std::vector { at("llm0", 60, 9'600) });
     // The total of 20 open requests is that of the last update, less the node's own 5.
-    CHECK(other->means == std::vector<MeanLoad> { { "llm", 3.75, 600 } });
+    CHECK(other->means == std::vector<MeanLoad> { { "llm", 3.75, 600, 10 } });
     CHECK_FALSE(account.answerFor("n5").has_value());
 }
 
--- a/tests/load/test_loadview.cpp
+++ b/tests/load/test_loadview.cpp
@@ -21,7 +21,7 @@
 
 auto makeAnswer(std::int64_t open) -> LoadAnswer
 {
-    return { { { loadKeyOf("busy"), open, 900 } }, { { "llm", 2.5, 40 } }, { { "llm", "a", 3, 96, 50, 1'000, 4, 20 }, { "llm", "b", 1, 32, 5, 0, 0, 0 } } };
+    return { { { loadKeyOf("busy"), open, 900 }, { loadKeyOf("idle"), 1, 900 } }, { { "llm", 2.5, 40, 20 } }, { { "llm", "a", 3, 96, 50, 1'000, 4, 20 }, { "llm", "b", 1, 32, 5, 0, 0, 0 } } };
 }
 
 /** Age of the answered report, and the weight of the answer. */
@@ -87,11 +87,13 @@
 
 const ServerCase serverCases[] = {
     { "busy", "llm", true, 7, 900 },
-    { "other", "llm", true, 2.5, 40 }, // not listed: the mean
+    { "idle", "llm", true, 2.5, 900 }, // listed and less busy since
+    { "other", "llm", true, 2.5, 40 }, // not listed
     { "other", "plain", false, 0, 0 },
 };
 
-TEST_CASE("servers that are not listed have the mean load")
+// Guards against a server that all nodes turn to at once because it is the only one with a known low load.
+TEST_CASE("no server has less than the mean load")
 {
     LoadView view("a");
     REQUIRE(view.answerReceived(makeAnswer(7), {}, start));
@@ -113,6 +115,7 @@
     LoadView view("a");
     REQUIRE(view.answerReceived(makeAnswer(7), { { "llm", 0, 5 } }, start));
     CHECK(view.demandShare("llm", start) == 0.25);
+    CHECK(view.othersAt(makeServer("busy"), start)->othersPerOwn == 3);
     CHECK_FALSE(view.demandShare("plain", start).has_value());
     CHECK_FALSE(view.demandShare("llm", start + 2s).has_value());
     REQUIRE(view.answerReceived(makeAnswer(7), {}, start + 1s));
--- a/tests/load/test_sharedchoice.cpp
+++ b/tests/load/test_sharedchoice.cpp
@@ -23,7 +23,8 @@
 constexpr std::int64_t slots = 32; ///< Of one engine.
 constexpr auto prefillTime = 150ms; ///< Time from the start of a run to its first event.
 constexpr auto lateWait = 500ms; ///< Wait for a slot above which the callers of the boards miss their objectives of 0.8 to 1.2 s.
-constexpr double maxRatio = 0.8; ///< Of the busiest engine's load over the mean with shared load to that without.
+constexpr double maxBusiest = 1.7; ///< Load of the busiest engine over the mean with shared load.
+constexpr double maxLatePart = 0.01; ///< Of the requests, with shared load.
 constexpr auto answerDelay = 20ms; ///< Between a report and the arrival of its answer.
 
 /** Nodes with a policy each before engines that answer each request after a while, with or without shared load. */
@@ -70,6 +71,7 @@
         ++this->open[engine];
         this->waiting[engine].push_back({ request, server, node, this->now, duration, false });
         ++this->sent;
+        ++this->nodes[node]->sent;
     }
 
     /** Ends requests that are due, exchanges reports and answers, and goes on by a step. */
@@ -114,6 +116,8 @@
         LoadView view;
         TimePoint reportDue;
         TimePoint reportSent;
+        double sent = 0; ///< Requests since the last report.
+        double rate = 0; ///< Requests per second, smoothed.
         std::optional<LoadAnswer> answer; ///< On its way.
     };
 
@@ -162,15 +166,17 @@
         for (std::size_t index = 0; index < this->nodes.size(); ++index) {
             auto& node = *this->nodes[index];
             if (node.answer && this->now >= node.reportSent + answerDelay) {
-                static_cast<void>(node.view.answerReceived(*node.answer, {}, node.reportSent));
+                static_cast<void>(node.view.answerReceived(*node.answer, { { "llm", 0, node.rate } }, node.reportSent));
                 node.answer.reset();
             }
             if (this->now < node.reportDue)
                 continue;
             node.reportDue += reportPeriod;
             node.reportSent = this->now;
+            node.rate += 0.25 * (2 * node.sent - node.rate);
+            node.sent = 0;
             const auto id = "node" + std::to_string(index);
-            this->account.reportReceived(id, { "a", node.policy.ownLoads(), {} }, this->now);
+            this->account.reportReceived(id, { "a", node.policy.ownLoads(), { { "llm", 0, node.rate } } }, this->now);
             node.answer = this->account.answerFor(id);
         }
     }
@@ -240,8 +246,10 @@
         const auto before = meanBusiest(alone, row.perSecond, 20, row.prefixes);
         const auto after = meanBusiest(shared, row.perSecond, 20, row.prefixes);
         MESSAGE(std::string(row.name) << ": busiest engine over mean " << before << " without, " << after << " with shared load; late " << alone.latePart() << ", " << shared.latePart());
-        CHECK(after <= maxRatio * before);
-        CHECK(shared.latePart() < alone.latePart());
+        CHECK(before > maxBusiest);
+        CHECK(alone.latePart() > maxLatePart);
+        CHECK(after <= maxBusiest);
+        CHECK(shared.latePart() <= maxLatePart);
     }
 }
 
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -214,10 +214,10 @@
 };
 
 const OthersCase othersCases[] = {
-    { "the report is newer than the answer", { 0, 0, 1, start + 100ms }, { 10, 0, 1, start + 100ms }, 0 },
-    { "the report is older than the answer", { 0, 0, 1, start - 100ms }, { 10, 0, 1, start - 100ms }, 1 },
-    { "the report has lost its weight", { 0, 0, 0, start + 100ms }, { 10, 0, 0, start + 100ms }, 1 },
-    { "prompts that are yet to be prefilled", { 0, 5'000, 1, start + 100ms }, { 20, 0, 1, start + 100ms }, 1 },
+    { "the report is newer than the answer", { 0, 0, 0, 1, start + 100ms }, { 10, 0, 0, 1, start + 100ms }, 0 },
+    { "the report is older than the answer", { 0, 0, 0, 1, start - 100ms }, { 10, 0, 0, 1, start - 100ms }, 1 },
+    { "the report has lost its weight", { 0, 0, 0, 0, start + 100ms }, { 10, 0, 0, 0, start + 100ms }, 1 },
+    { "prompts that are yet to be prefilled", { 0, 5'000, 0, 1, start + 100ms }, { 20, 0, 0, 1, start + 100ms }, 1 },
 };
 
 // Guards against an answer of seconds ago that outweighs what the other nodes report now, and the reverse.
@@ -235,6 +235,26 @@
     }
 }
 
+// Guards against a burst of one prompt at all nodes, which all send to its home until the next answers tell them how busy it is.
+TEST_CASE("a node leaves room at a prompt's home for what the other nodes send there")
+{
+    const Pool pool(2, BackendKind::Engine);
+    const std::vector<PromptPart> parts { { 1, 1'500 }, { 2, 500 } };
+    int chosen[] = { 0, 0 }; // without and with 76 requests of the other nodes for each own one
+    for (const auto othersPerOwn : { 0.0, 76.0 }) {
+        StatedLoads stated;
+        stated.loads = { { "s0", { 20, 0, othersPerOwn, 1, start } }, { "s1", { 20, 0, othersPerOwn, 1, start } } };
+        CacheAwarePolicy policy(1);
+        const auto* home = policy.choose(makeRequest(1, parts), pool.pointers, start);
+        policy.setOtherLoads(&stated);
+        for (std::uint64_t id = 2; id < 102; ++id)
+            chosen[othersPerOwn > 0 ? 1 : 0] += policy.choose(makeRequest(id, parts), pool.pointers, start + std::chrono::milliseconds(500) * id) == home ? 1 : 0;
+    }
+    CHECK(chosen[0] == 100);
+    CHECK(chosen[1] < 60);
+    CHECK(chosen[1] > 10);
+}
+
 TEST_CASE("a node reports the requests and tokens that it has open at each server")
 {
     const Pool pool(2, BackendKind::Engine);
