--- a/src/measure/decide/main.cpp
+++ b/src/measure/decide/main.cpp
@@ -2,6 +2,7 @@
 #include "hash.h"
 #include "leastcostpolicy.h"
 #include "process.h"
+#include "sharedload.h"
 
 #include <algorithm>
 #include <array>
@@ -35,7 +36,7 @@
 constexpr std::size_t waitingRequests = 10'000;
 constexpr double maxAdmissionMicroseconds = 50;
 constexpr double maxWaitingBytes = 2'048; ///< What a node reckons for a waiting request beside its body.
-constexpr int targets = 4;
+constexpr int targets = 4 + sharedLoadTargets;
 
 auto makeServers(std::size_t count) -> std::vector<BackendServer>
 {
@@ -180,6 +181,7 @@
     const auto admission = measureAdmission(waitingRequests);
     passed += printTarget(admission.microseconds <= maxAdmissionMicroseconds, "microseconds to hold and start a request with 10000 waiting", admission.microseconds, maxAdmissionMicroseconds);
     passed += printTarget(admission.bytes <= maxWaitingBytes, "bytes of a waiting request in the queue", admission.bytes, maxWaitingBytes);
+    passed += measureSharedLoad();
     std::printf("%d passed, %d failed\n", passed, targets - passed);
     return passed == targets ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -4,6 +4,7 @@
 #include "serverindex.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 
@@ -20,10 +21,13 @@
 constexpr double mismatchTokens = 8'000; ///< Cost of a prompt on an engine for long streams or the reverse, in prompt tokens; equals several mean prompts.
 constexpr double jitterTokens = 40; ///< Upper limit of the random cost that keeps nodes with the same view from all choosing the same server, in prompt tokens.
 constexpr auto cacheRetention = 20s; ///< Time since its last use after which a prefix is assumed to be evicted from a server's cache.
+constexpr std::chrono::milliseconds otherReportAge = 250ms; ///< Mean age of the other nodes' reports when this node reports: half of the period.
 constexpr auto loadLifetime = 2s; ///< Time over which the weight of an observed load falls to zero.
 constexpr int errorsBeforeAvoidance = 2; ///< Consecutive errors after which a server is avoided for a while; on a service that fails one request in seven, two in a row occur by chance in one pair of fifty.
 constexpr std::size_t purgeThreshold = 4'096; ///< Cached prefixes of one server above which expired ones are removed.
 constexpr std::int64_t minMeasuredTokens = 1'000; ///< Length of a prompt's last part, in tokens, from which its prefill outweighs the rest of the time to the first piece.
+constexpr auto homeRateTime = 5s; ///< Time constant of the rate of requests with one home.
+constexpr auto reportDelay = 600ms; ///< Time for which requests at a server are missing in the reports of all nodes.
 constexpr std::size_t maxRateSamples = 64; ///< Latest prefill rates that are kept for each pool.
 constexpr std::size_t minRateSamples = 8; ///< Measured prefill rates needed before the rate of a pool is known.
 constexpr double idleRateQuantile = 0.9; ///< Quantile of the measured rates that is taken as the rate of an otherwise idle engine.
@@ -68,6 +72,15 @@
     return home;
 }
 
+/** Returns the rate of an otherwise idle engine by the measured \a rates. */
+auto idleRateOf(const std::deque<double>& rates) -> double
+{
+    std::vector<double> sorted(rates.begin(), rates.end());
+    const auto place = sorted.begin() + static_cast<std::ptrdiff_t>(idleRateQuantile * static_cast<double>(sorted.size() - 1));
+    std::nth_element(sorted.begin(), place, sorted.end());
+    return *place;
+}
+
 } // namespace
 
 auto homePrefixOf(const RoutingRequest& request) -> std::uint64_t
@@ -97,6 +110,8 @@
             bestCost = cost;
         }
     }
+    if (home && best && this->otherLoads)
+        this->recordHome(*home, now);
     if (best || candidates.empty())
         return best;
     // All candidates failed recently, so that the failures do not tell them apart.
@@ -121,10 +136,14 @@
     const auto found = this->servers.find(server.id);
     const auto& state = found == this->servers.end() ? idle : found->second;
     const auto freshness = freshnessOf(state, now);
-    const auto others = this->estimateOthers(server, state, freshness, now);
+    // All nodes send the same prompts home, and each learns of the others' requests only with the next answers. This request is as
+    // likely to be the first as the last of these, so that the nodes together fill up the room that is left, but not more.
+    const auto reported = this->otherLoads ? this->otherLoads->othersAt(server, now) : std::nullopt;
+    const auto ownArrivals = isHome && reported ? this->uniform() * this->homeRate(state, now) * std::chrono::duration<double>(reportDelay).count() : 0;
+    const auto others = this->estimateOthers(server, state, freshness, reported, ownArrivals, now);
     const auto slowness = this->slowdowns.slowness(server) * (1 + freshness * (state.machineSlowness - 1));
 
-    auto cost = jitterTokens * static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
+    auto cost = jitterTokens * this->uniform();
     if (server.zone != request.zone)
         cost += otherZoneTokens;
     if (this->isMismatched(request, server))
@@ -138,21 +157,43 @@
     return cost + slowness * (runningRequestTokens * (static_cast<double>(state.running) + others.requests) + waitingRequestTokens * others.waiting + others.pendingPrefillTokens);
 }
 
-auto CacheAwarePolicy::estimateOthers(const BackendServer& server, const ServerState& state, double freshness, TimePoint now) const -> OthersEstimate
+auto CacheAwarePolicy::estimateOthers(const BackendServer& server, const ServerState& state, double freshness, const std::optional<OtherLoad>& reported, double ownArrivals, TimePoint now) const -> OthersEstimate
 {
     const OthersEstimate observed { freshness * static_cast<double>(state.otherRequests), freshness * static_cast<double>(state.otherWaiting), 0 };
-    const auto reported = this->otherLoads ? this->otherLoads->othersAt(server, now) : std::nullopt;
     if (!reported)
         return observed;
+    // Since the reports, an engine has worked off what it can; only what it cannot keep up with is left.
+    const auto age = std::chrono::duration<double>(now - reported->reportedAt + otherReportAge).count();
+    const auto pendingTokens = std::max(0.0, reported->pendingPrefillTokens - age * this->prefillRate(server.pool));
     // Requests beyond the slots of an engine wait until one is free; the cost of a plain server has them already.
-    const auto open = static_cast<double>(state.running) + reported->openRequests;
+    const auto openRequests = reported->openRequests + ownArrivals * reported->othersPerOwn;
+    const auto open = static_cast<double>(state.running) + openRequests;
     const auto waiting = server.kind == BackendKind::Engine ? std::max(0.0, open - static_cast<double>(server.slots)) : 0;
     // The newer of the two counts, and as it gets old the other one fills the rest of its weight.
     const auto isOlder = reported->reportedAt < state.observedAt;
     const auto observedWeight = isOlder ? 1 : 1 - reported->weight;
     const auto reportedWeight = isOlder ? (1 - freshness) * reported->weight : reported->weight;
-    return { observedWeight * observed.requests + reportedWeight * reported->openRequests, observedWeight * observed.waiting + reportedWeight * waiting,
-        reportedWeight * reported->pendingPrefillTokens };
+    return { observedWeight * observed.requests + reportedWeight * openRequests, observedWeight * observed.waiting + reportedWeight * waiting,
+        reportedWeight * pendingTokens };
+}
+
+auto CacheAwarePolicy::uniform() -> double
+{
+    return static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
+}
+
+auto CacheAwarePolicy::homeRate(const ServerState& state, TimePoint now) const -> double
+{
+    using Seconds = std::chrono::duration<double>;
+    return state.homeRequests * std::exp(-(Seconds(now - state.lastHomeRequest) / Seconds(homeRateTime))) / Seconds(homeRateTime).count();
+}
+
+auto CacheAwarePolicy::recordHome(const BackendServer& server, TimePoint now) -> void
+{
+    using Seconds = std::chrono::duration<double>;
+    auto& state = this->servers[server.id];
+    state.homeRequests = 1 + state.homeRequests * std::exp(-(Seconds(now - state.lastHomeRequest) / Seconds(homeRateTime)));
+    state.lastHomeRequest = now;
 }
 
 auto CacheAwarePolicy::ownLoads() const -> std::vector<ServerLoad>
@@ -223,6 +264,8 @@
         rates.push_back(static_cast<double>(found->second.lastPartTokens) / std::max(0.001, std::chrono::duration<double>(now - found->second.sent).count()));
         if (rates.size() > maxRateSamples)
             rates.pop_front();
+        if (rates.size() >= minRateSamples)
+            this->idleRates[server.pool] = idleRateOf(rates);
     }
     found->second.pendingPrefillTokens = 0;
     found->second.hasPiece = true;
@@ -270,13 +313,8 @@
 
 auto CacheAwarePolicy::prefillRate(const std::string& pool) const -> double
 {
-    const auto found = this->prefillRates.find(pool);
-    if (found == this->prefillRates.end() || found->second.size() < minRateSamples)
-        return 0;
-    std::vector<double> sorted(found->second.begin(), found->second.end());
-    const auto place = sorted.begin() + static_cast<std::ptrdiff_t>(idleRateQuantile * static_cast<double>(sorted.size() - 1));
-    std::nth_element(sorted.begin(), place, sorted.end());
-    return *place;
+    const auto found = this->idleRates.find(pool);
+    return found == this->idleRates.end() ? 0 : found->second;
 }
 
 auto CacheAwarePolicy::expectedPrefillTokens(const RoutingRequest& request, const BackendServer& server, TimePoint now) const -> std::int64_t
@@ -292,7 +330,7 @@
     const auto found = this->servers.find(server.id);
     const auto& state = found == this->servers.end() ? unknown : found->second;
     const auto freshness = freshnessOf(state, now);
-    const auto others = this->estimateOthers(server, state, freshness, now);
+    const auto others = this->estimateOthers(server, state, freshness, this->otherLoads ? this->otherLoads->othersAt(server, now) : std::nullopt, 0, now);
     return { static_cast<double>(state.running) + others.requests, static_cast<double>(state.pendingPrefillTokens) + others.pendingPrefillTokens, freshness > 0 };
 }
 
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -98,6 +98,8 @@
         bool isRemoved = false; ///< The server is not registered any more.
         int consecutiveErrors = 0; ///< Errors since a request last ended in another way.
         double machineSlowness = 1; ///< Factor by which the server's machine is slowed, as of the last observed load; 1 is its usual speed.
+        double homeRequests = 0; ///< Requests whose home is the server, with a weight that falls with their age.
+        TimePoint lastHomeRequest;
         TimePoint observedAt; ///< Time of the last observed load.
         std::unordered_map<std::uint64_t, TimePoint> cachedPrefixes; ///< Prefixes of this node's prompts that the server prefilled, with the time of their last use.
     };
@@ -109,11 +111,19 @@
         double pendingPrefillTokens = 0; ///< As known from the other nodes.
     };
 
-    /** Returns the load of the other nodes by the server's own answer, whose weight is \a freshness, and by the other nodes' reports. */
     /** Returns the weight of the last observed load at \a now, from 1 (just observed) down to 0. */
     [[nodiscard]] static auto freshnessOf(const ServerState&, TimePoint now) -> double;
 
-    [[nodiscard]] auto estimateOthers(const BackendServer&, const ServerState&, double freshness, TimePoint) const -> OthersEstimate;
+    /**
+     * Returns the load of the other nodes by the server's own answer, whose weight is \a freshness, and by what the other nodes \a reported.
+     * The other nodes are expected to have sent as much since, in proportion, as this node's \a ownArrivals.
+     */
+    [[nodiscard]] auto estimateOthers(const BackendServer&, const ServerState&, double freshness, const std::optional<OtherLoad>& reported, double ownArrivals, TimePoint) const -> OthersEstimate;
+
+    /** Returns how many requests of this node per second have the server as their home. */
+    [[nodiscard]] auto homeRate(const ServerState&, TimePoint) const -> double;
+    [[nodiscard]] auto uniform() -> double; ///< Returns a random number from 0 to 1.
+    auto recordHome(const BackendServer&, TimePoint) -> void;
 
     [[nodiscard]] auto costOf(const RoutingRequest&, const BackendServer&, std::span<const std::uint64_t> prefixes, bool isHome, TimePoint) -> double;
 
@@ -128,6 +138,7 @@
     std::unordered_map<std::string, ServerState> servers;
     std::unordered_map<std::uint64_t, OpenRequest> openRequests;
     std::unordered_map<std::string, std::deque<double>> prefillRates; ///< Prefill rates of the latest long prompts in tokens per second, by pool.
+    std::unordered_map<std::string, double> idleRates; ///< Prefill rate of an otherwise idle engine by these, in tokens per second, by pool.
     std::set<std::string> streamEngines;
     const OtherLoadSource* otherLoads = nullptr;
     std::minstd_rand random;
