Admission: Counted the requests ahead by turns, and spread callers that have no attempt left

Cause: a request of a quiet workspace was refused as too late when a loud one had many requests in the queue, although the turns of the workspaces would have started it soon. A request that full servers refused and that had no attempt left was refused with a fixed Retry-After, so that such callers returned together.

Change: the number of requests ahead follows the turns, and the second kind is refused with reason no_room and the same delay as the others.

--- a/src/admission/admissionqueue.cpp
+++ b/src/admission/admissionqueue.cpp
@@ -237,14 +237,25 @@
     return queue == this->queues.end() ? 0 : queue->second.size;
 }
 
-auto AdmissionQueue::countAhead(const std::string& service, std::int64_t priority) const -> std::size_t
+auto AdmissionQueue::countAhead(const std::string& service, const std::string& workspace, std::int64_t priority) const -> std::size_t
 {
     const auto queue = this->queues.find(service);
     if (queue == this->queues.end())
         return 0;
-    std::size_t ahead = 0;
-    for (const auto& [other, count] : queue->second.counts)
-        ahead += other <= priority ? count : 0;
+    const auto& turns = queue->second.turns;
+    const auto countAlike = [priority](const Turn& turn) {
+        const auto list = turn.classes.find(priority);
+        return turn.overdue.size() + (list == turn.classes.end() ? 0 : list->second.size());
+    };
+    const auto own = turns.find(workspace);
+    const auto ownCount = own == turns.end() ? 0 : countAlike(own->second);
+    auto ahead = ownCount;
+    for (const auto& [name, turn] : turns) {
+        for (auto list = turn.classes.begin(); list != turn.classes.end() && list->first < priority; ++list)
+            ahead += list->second.size();
+        if (name != workspace)
+            ahead += std::min(countAlike(turn), ownCount + 1);
+    }
     return ahead;
 }
 
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -72,8 +72,11 @@
     /** Returns the number of requests at \a service. */
     [[nodiscard]] auto count(const std::string& service) const -> std::size_t;
 
-    /** Returns the number of requests at \a service with \a priority or a higher one. */
-    [[nodiscard]] auto countAhead(const std::string& service, std::int64_t priority) const -> std::size_t;
+    /**
+     * Returns about how many requests at \a service start before a new one of \a workspace with \a priority: those of
+     * higher priorities, those of its workspace, and of each other workspace as many as get their turn meanwhile.
+     */
+    [[nodiscard]] auto countAhead(const std::string& service, const std::string& workspace, std::int64_t priority) const -> std::size_t;
 
     /** Returns the services at which requests wait. */
     [[nodiscard]] auto services() const -> std::vector<std::string>;
@@ -89,6 +92,7 @@
         std::set<Key> timely; ///< Requests that can still meet their objective, by arrival.
         std::set<Key> late; ///< The others.
 
+        [[nodiscard]] auto size() const -> std::size_t { return this->timely.size() + this->late.size(); }
         [[nodiscard]] auto isEmpty() const -> bool { return this->timely.empty() && this->late.empty(); }
         [[nodiscard]] auto first() const -> std::uint64_t { return this->timely.empty() ? this->late.begin()->second : this->timely.begin()->second; }
     };
--- a/src/forwarding/forwardcontext.h
+++ b/src/forwarding/forwardcontext.h
@@ -53,6 +53,9 @@
     /** Decides what happens to a request for which chooseServer() returned null. */
     virtual auto requestRoom(const ForwardRequest&, const std::set<std::string>& /*excluded*/, EventLoop::TimePoint) -> RoomDecision { return {}; }
 
+    /** Returns the time after which the caller may return when full servers refused the request and it is not tried again, or nothing when room is not considered. */
+    virtual auto roomDelay(const ForwardRequest&, EventLoop::TimePoint) -> std::optional<std::chrono::milliseconds> { return std::nullopt; }
+
     /** Notes that an attempt for the request began at a server. */
     virtual auto attemptBegan(const ForwardRequest&, const BackendServer&, EventLoop::TimePoint) -> void { }
 
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -385,8 +385,11 @@
         return this->finish();
     }
     if (this->possibleRuns == 0) {
-        const auto left = this->quarantineLeft();
-        return left ? this->refuse("quarantined_prompt", *left) : this->refuse("no_server", noServerRetryDelay);
+        if (const auto left = this->quarantineLeft())
+            return this->refuse("quarantined_prompt", *left);
+        if (const auto delay = this->full.empty() ? std::nullopt : this->context.servers.roomDelay(this->details, EventLoop::now()))
+            return this->refuse("no_room", *delay);
+        return this->refuse("no_server", noServerRetryDelay);
     }
     this->fail(HttpStatus::badGateway, "server_lost");
 }
--- a/src/gateway/admissioncontroller.cpp
+++ b/src/gateway/admissioncontroller.cpp
@@ -155,7 +155,7 @@
     if (!isStartKnown)
         result.start.reset();
     result.least = least.value_or(0ms);
-    result.ahead = this->queue.countAhead(request.service->name, request.priority());
+    result.ahead = this->queue.countAhead(request.service->name, request.workspace ? request.workspace->name : "", request.priority());
     const auto limit = this->limitOf(request.service->name, service, now);
     const auto openLimit = std::max(static_cast<double>(service.openRequests), limit.openRequests.value_or(static_cast<double>(service.slots)));
     result.queue = service.estimate.queueDelay(static_cast<double>(result.ahead), openLimit, now);
@@ -200,6 +200,16 @@
     return { RoomDecision::Outcome::Held, 0ms };
 }
 
+auto AdmissionController::refusedDelay(const ForwardRequest& request, const Candidates& suitable, TimePoint now) -> std::optional<std::chrono::milliseconds>
+{
+    const auto found = this->services.find(request.service->name);
+    if (!this->isEnabled() || !request.mayBeHeld || suitable.empty() || found == this->services.end())
+        return std::nullopt;
+    const auto estimate = this->estimate(request, found->second, suitable, now);
+    this->logRefusal(request.service->name, request.fields.requestId, "no_attempt_left", estimate, request.deadline, now);
+    return this->refusalDelay(estimate, request.deadline, now);
+}
+
 auto AdmissionController::advance(const Starter& starter, TimePoint now) -> void
 {
     // An answer to a caller may bring its next request, which must not start a second pass.
@@ -291,7 +301,7 @@
 auto AdmissionController::refuseHeld(const WaitingRequest& request, const char* cause, TimePoint now) -> void
 {
     Estimate estimate;
-    estimate.ahead = this->queue.countAhead(request.service, request.priority);
+    estimate.ahead = this->queue.countAhead(request.service, request.workspace, request.priority);
     if (const auto found = this->services.find(request.service); found != this->services.end()) {
         const auto limit = found->second.lastLimit.openRequests.value_or(static_cast<double>(found->second.slots));
         estimate.queue = found->second.estimate.queueDelay(static_cast<double>(estimate.ahead), limit, now);
--- a/src/gateway/admissioncontroller.h
+++ b/src/gateway/admissioncontroller.h
@@ -63,6 +63,9 @@
     /** Holds or refuses \a request, for which none of the servers \a suitable for it had room. */
     auto hold(const ForwardRequest& request, const Candidates& suitable, TimePoint now) -> RoomDecision;
 
+    /** Returns the time after which the caller of \a request may return when full servers refused it and no attempt is left, or nothing when room is not considered. */
+    auto refusedDelay(const ForwardRequest& request, const Candidates& suitable, TimePoint now) -> std::optional<std::chrono::milliseconds>;
+
     /** Tries to start waiting requests in their order with \a starter and refuses those that have become too late. */
     auto advance(const Starter& starter, TimePoint now) -> void;
 
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -88,6 +88,7 @@
     auto replyReceived(const BackendServer&, const ReplyFields&) -> void override;
     auto requestSent(const BackendServer& server) -> void override { this->limits.requestSent(server); }
     auto requestRoom(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> RoomDecision override;
+    auto roomDelay(const ForwardRequest& request, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> override;
     auto attemptBegan(const ForwardRequest& request, const BackendServer&, EventLoop::TimePoint now) -> void override { this->admissions.attemptBegan(request, now); }
     auto attemptEnded(const ForwardRequest& request, const BackendServer&, AttemptEnd end, EventLoop::TimePoint now) -> void override { this->admissions.attemptEnded(request, end, now); }
     auto serverFull(const BackendServer& server, EventLoop::TimePoint now) -> void override { this->admissions.serverFull(server, now); }
--- a/src/gateway/forwardroom.cpp
+++ b/src/gateway/forwardroom.cpp
@@ -37,6 +37,11 @@
     return candidates;
 }
 
+auto ForwardController::roomDelay(const ForwardRequest& request, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds>
+{
+    return this->admissions.isEnabled() ? this->admissions.refusedDelay(request, this->suitableServers(request, {}, now), now) : std::nullopt;
+}
+
 auto ForwardController::requestRoom(const ForwardRequest& request, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> RoomDecision
 {
     if (!this->admissions.isEnabled())
