Intake: Limited memory, time and connections of callers together

Cause: a request that was given up kept its body until its connection ended and no longer counted; memory was reserved by the announced length; a chunked body grew as one text; admitted bodies could fill the budget; headers, connections and input behind an open request did not count; freed blocks stayed in the heap; no descriptor was left for new callers or servers.

Change: bodies are kept in blocks as their bytes arrive, stored once and shared with the outputs; all of the above counts against a quarter of /node/memory; BodyAdmission (src/intake) refuses large bodies early with 503 and keeps a part for small ones; a body has a least rate and a longest time (408); connections that are used least are closed from three quarters of the descriptors on; freed memory is returned once a second at most.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -1,5 +1,6 @@
 #include "backendconnection.h"
 
+#include "bodyoutput.h"
 #include "errors.h"
 #include "hopheaders.h"
 #include "socketoptions.h"
@@ -77,18 +78,13 @@
     auto head = message.method + " " + message.target + " HTTP/1.1\r\n";
     for (const auto& header : message.headers)
         head += header.name + ": " + header.value + "\r\n";
-    const auto hasBody = message.body && !message.body->empty();
+    const auto hasBody = message.body && !message.body->isEmpty();
     if (hasBody || message.method == "POST" || message.method == "PUT")
         head += "Content-Length: " + std::to_string(hasBody ? message.body->size() : 0) + "\r\n";
     head += "\r\n";
     bufferevent_write(this->stream, head.data(), head.size());
-    if (hasBody) {
-        // All attempts share the bytes, which are released when they have been sent.
-        auto owner = std::make_unique<std::shared_ptr<const std::string>>(message.body);
-        const auto release = [](const void*, std::size_t, void* bytes) { delete static_cast<std::shared_ptr<const std::string>*>(bytes); };
-        if (evbuffer_add_reference(bufferevent_get_output(this->stream), message.body->data(), message.body->size(), release, owner.get()) == 0)
-            static_cast<void>(owner.release());
-    }
+    if (hasBody)
+        addShared(bufferevent_get_output(this->stream), message.body); // All attempts share the bytes.
 }
 
 auto BackendConnection::eventReceived(short events) -> void
--- a/src/forwarding/backendconnection.h
+++ b/src/forwarding/backendconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "address.h"
+#include "blockbuffer.h"
 #include "eventloop.h"
 #include "headercodec.h"
 #include "messageparser.h"
@@ -20,7 +21,7 @@
     std::string method;
     std::string target;
     HttpHeaders headers;
-    std::shared_ptr<const std::string> body;
+    std::shared_ptr<const BlockBuffer> body;
     std::string requestId; ///< Responses that carry another id are discarded.
 };
 
--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -1,9 +1,12 @@
 #include "callerconnection.h"
 
+#include "bodyoutput.h"
+#include "bodytiming.h"
 #include "hopheaders.h"
 #include "socketoptions.h"
 #include "units.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <event2/buffer.h>
@@ -24,7 +27,11 @@
 constexpr int statusRequestTimeout = 408;
 constexpr int statusHeadTooLarge = 431;
 constexpr std::size_t streamBufferBytes = 64 * kibibyte; ///< Unsent output above which a stream counts as congested.
-constexpr std::size_t maxReadAheadBytes = 64 * kibibyte; ///< Limit for input of the next request that is buffered during a response.
+constexpr std::size_t maxInputBytes = 64 * kibibyte; ///< Limit for input that is buffered before it is parsed.
+constexpr std::size_t maxReadAheadBytes = 8 * kibibyte; ///< The same for input of the next request during a response; the rest stays in the socket.
+constexpr std::size_t connectionBytes = 4 * kibibyte; ///< Memory of a connection with an ordinary request, which counts from its start.
+constexpr std::size_t uncountedOutputBytes = 16 * kibibyte; ///< Unsent output up to which it is not counted, as most of it is written at once.
+constexpr int bodyPauses = 2; ///< Number of idle timeouts for which a body may pause in all.
 constexpr std::chrono::milliseconds idleMargin = 1s; ///< Added to the idle timeout: the last response and the next request are on their way while the caller keeps within it.
 constexpr std::chrono::milliseconds otherNodeDelay = 100ms; ///< Retry-After for callers whom another node can serve.
 constexpr std::chrono::milliseconds lingerTimeout = 1s; ///< Time for the caller to read the last response and close the connection.
@@ -39,12 +46,14 @@
 
 } // namespace
 
-CallerExchange::CallerExchange(CallerConnection& connection, BufferBudget& buffers, CallerMessage message)
+CallerExchange::CallerExchange(CallerConnection& connection, BufferBudget& buffers, CallerMessage message, Intake* intake)
     : connection(&connection)
     , message(std::move(message))
     , buffered(buffers)
 {
-    this->buffered.resize(this->message.body.size());
+    this->buffered.resize(this->message.body.capacity());
+    if (intake)
+        this->admitted.emplace(intake->bodies, this->message.body.size());
 }
 
 auto CallerExchange::respond(int status, const HttpHeaders& headers, std::string_view body) -> void
@@ -52,12 +61,9 @@
     this->respond(status, headers, body.size(), [body](bufferevent* stream) { bufferevent_write(stream, body.data(), body.size()); });
 }
 
-auto CallerExchange::respond(int status, const HttpHeaders& headers, const BlockBuffer& body) -> void
+auto CallerExchange::respond(int status, const HttpHeaders& headers, BlockBuffer&& body) -> void
 {
-    this->respond(status, headers, body.size(), [&body](bufferevent* stream) {
-        for (const auto& block : body.blocks())
-            bufferevent_write(stream, block.data(), block.size());
-    });
+    this->respond(status, headers, body.size(), [&body](bufferevent* stream) { addOwned(bufferevent_get_output(stream), std::move(body)); });
 }
 
 auto CallerExchange::respond(int status, const HttpHeaders& headers, std::size_t bodyBytes, const std::function<void(bufferevent*)>& writeBody) -> void
@@ -114,10 +120,11 @@
     return this->connection && evbuffer_get_length(bufferevent_get_output(this->connection->stream)) > streamBufferBytes;
 }
 
-CallerConnection::CallerConnection(EventLoop& loop, int socket, const CallerLimits& limits, BufferBudget& buffers, RequestHandler requestHandler, ClosedHandler closed)
+CallerConnection::CallerConnection(EventLoop& loop, int socket, const CallerLimits& limits, BufferBudget& buffers, RequestHandler requestHandler, ClosedHandler closed, Intake* intake)
     : loop(loop)
     , limits(limits)
     , buffers(buffers)
+    , intake(intake)
     , requestHandler(std::move(requestHandler))
     , closedHandler(std::move(closed))
     , stream(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
@@ -125,6 +132,8 @@
           { [this](const MessageHead& head) { this->headReceived(head); }, [this](std::string_view bytes) { this->bodyReceived(bytes); } },
           limits.headerBytes)
     , timer(loop, [this] { this->timedOut(); })
+    , phaseBegan(EventLoop::now())
+    , heldBytes(buffers)
     , isAlive(std::make_shared<bool>(true))
 {
     disableNagle(socket);
@@ -136,7 +145,8 @@
         [](bufferevent*, short events, void* self) { static_cast<CallerConnection*>(self)->eventReceived(events); }, this);
     evbuffer_add_cb(
         bufferevent_get_output(this->stream), [](evbuffer*, const evbuffer_cb_info*, void* self) { static_cast<CallerConnection*>(self)->outputChanged(); }, this);
-    bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
+    bufferevent_setwatermark(this->stream, EV_READ, 0, maxInputBytes);
+    this->heldBytes.resize(connectionBytes);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     this->timer.start(limits.idleTimeout + idleMargin);
 }
@@ -153,8 +163,10 @@
 {
     if (this->state == State::Reading)
         return this->parseInput();
+    auto* input = bufferevent_get_input(this->stream);
+    if (this->state == State::Responding)
+        this->heldBytes.resize(connectionBytes + evbuffer_get_length(input));
     if (this->state == State::Closing || this->state == State::Lingering) {
-        auto* input = bufferevent_get_input(this->stream);
         evbuffer_drain(input, evbuffer_get_length(input));
     }
 }
@@ -163,8 +175,10 @@
 {
     auto* input = bufferevent_get_input(this->stream);
     while (this->state == State::Reading && evbuffer_get_length(input) > 0) {
-        if (!this->parser.hasBegun())
+        if (!this->parser.hasBegun()) {
             this->timer.start(this->limits.headerTimeout);
+            this->phaseBegan = EventLoop::now();
+        }
         const auto size = evbuffer_get_contiguous_space(input);
         const std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size))), size);
         std::size_t consumed = 0;
@@ -172,6 +186,8 @@
         evbuffer_drain(input, consumed);
         if (this->isTooLarge)
             return this->reject(HttpStatus::tooLarge);
+        if (this->isRefused)
+            return this->refuse();
         if (result == ParseResult::Malformed)
             return this->reject(HttpStatus::badRequest);
         if (result == ParseResult::HeadTooLarge)
@@ -179,7 +195,9 @@
         if (result == ParseResult::Complete)
             this->messageReceived();
         else if (this->parser.hasHead())
-            this->timer.start(this->limits.idleTimeout);
+            this->waitForBody();
+        if (result == ParseResult::NeedsMore)
+            this->countIncoming();
     }
 }
 
@@ -188,18 +206,13 @@
     this->incoming = {};
     this->incoming.head = head;
     this->incoming.received = EventLoop::now();
-    this->incomingBytes = std::make_unique<BufferBudget::Account>(this->buffers, [this] {
-        this->post([this] { this->refuseIncomplete(); });
-    });
     if (const auto text = head.headers.get("Content-Length")) {
         const auto length = std::strtoull(text->c_str(), nullptr, 10);
         this->isTooLarge = length > this->limits.bodyBytes;
-        // A text that grows takes up to three times the memory of its bytes meanwhile.
-        if (!this->isTooLarge)
-            this->incoming.body.reserve(length);
+        this->isRefused = this->intake && length > BodyAdmission::smallBytes && !this->intake->bodies.admits(length);
     }
     const auto expect = head.headers.get("Expect");
-    if (!this->isTooLarge && expect && strcasecmp(expect->c_str(), "100-continue") == 0) {
+    if (!this->isTooLarge && !this->isRefused && expect && strcasecmp(expect->c_str(), "100-continue") == 0) {
         constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
         bufferevent_write(this->stream, proceed.data(), proceed.size());
     }
@@ -210,25 +223,64 @@
     if (this->incoming.body.size() + bytes.size() > this->limits.bodyBytes)
         this->isTooLarge = true;
     else
-        this->incoming.body += bytes;
-    this->incomingBytes->resize(this->incoming.body.size());
+        this->incoming.body.add(bytes);
+    const auto size = this->incoming.body.size();
+    if (this->intake && size > BodyAdmission::smallBytes && !this->intake->bodies.admits(size))
+        this->isRefused = true;
+}
+
+auto CallerConnection::waitForBody() -> void
+{
+    auto limit = this->limits.idleTimeout;
+    if (this->intake) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(EventLoop::now() - this->incoming.received);
+        limit = std::min(limit, bodyTimeLeft(this->intake->settings, bodyPauses * this->limits.idleTimeout, this->incoming.body.size(), age));
+    }
+    this->timer.start(timerDelay(limit));
+}
+
+auto CallerConnection::countIncoming() -> void
+{
+    // The headers are kept as they were received and as names and values.
+    const auto bytes = 2 * std::min(this->parser.headSize(), this->limits.headerBytes) + this->incoming.body.capacity();
+    if (!this->incomingBytes && bytes <= connectionBytes)
+        return;
+    if (!this->incomingBytes) {
+        this->incomingBytes = std::make_unique<BufferBudget::Account>(this->buffers, [this] {
+            this->post([this] { this->refuseIncomplete(); });
+        });
+    }
+    this->incomingBytes->resize(bytes);
+}
+
+auto CallerConnection::refuse() -> void
+{
+    ++this->intake->refusedBodies;
+    this->reject(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(otherNodeDelay) } });
 }
 
 auto CallerConnection::messageReceived() -> void
 {
     this->timer.stop();
     this->state = State::Responding;
+    this->hasServed = true;
     this->isStreaming = false;
     if (!this->incoming.head.keepsAlive)
         this->closesAfterResponse = true;
     this->incomingBytes.reset();
-    this->exchange = std::make_shared<CallerExchange>(*this, this->buffers, std::move(this->incoming));
+    bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
+    const auto isAdmitted = !this->intake || this->intake->bodies.admits(this->incoming.body.size());
+    this->exchange = std::make_shared<CallerExchange>(*this, this->buffers, std::move(this->incoming), isAdmitted ? this->intake : nullptr);
     this->incoming = {};
     const auto current = this->exchange;
+    if (!isAdmitted) {
+        ++this->intake->refusedBodies;
+        return current->respond(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(otherNodeDelay) } }, "");
+    }
     this->requestHandler(current);
 }
 
-auto CallerConnection::writeHead(int status, const HttpHeaders& headers, std::string_view framing) -> void
+auto CallerConnection::responseHead(int status, const HttpHeaders& headers, std::string_view framing) const -> std::string
 {
     auto text = statusLine(status);
     for (const auto& header : headers)
@@ -240,6 +292,12 @@
     else if (seconds > 0)
         text += "Keep-Alive: timeout=" + std::to_string(seconds) + "\r\n";
     text += "\r\n";
+    return text;
+}
+
+auto CallerConnection::writeHead(int status, const HttpHeaders& headers, std::string_view framing) -> void
+{
+    const auto text = this->responseHead(status, headers, framing);
     bufferevent_write(this->stream, text.data(), text.size());
 }
 
@@ -250,6 +308,9 @@
     if (this->closesAfterResponse)
         return this->closeAfterWriting();
     this->state = State::Reading;
+    this->phaseBegan = EventLoop::now();
+    bufferevent_setwatermark(this->stream, EV_READ, 0, maxInputBytes);
+    this->heldBytes.resize(connectionBytes);
     this->parser.reset();
     this->timer.start(this->limits.idleTimeout + idleMargin);
     // The next request may already be buffered. It is parsed from the event loop, since this one is still on the call stack.
@@ -259,6 +320,8 @@
 auto CallerConnection::reject(int status, const HttpHeaders& headers) -> void
 {
     this->closesAfterResponse = true;
+    this->incoming = {};
+    this->incomingBytes.reset();
     this->writeHead(status, headers, "Content-Length: 0\r\n");
     this->closeAfterWriting();
 }
@@ -274,8 +337,7 @@
 auto CallerConnection::outputChanged() -> void
 {
     const auto size = evbuffer_get_length(bufferevent_get_output(this->stream));
-    // Most output is written at once, and a stream that is congested is paused.
-    if (size <= streamBufferBytes)
+    if (size <= uncountedOutputBytes)
         return this->unreadBytes.reset();
     if (!this->unreadBytes) {
         this->unreadBytes = std::make_unique<BufferBudget::Account>(this->buffers, [this] {
@@ -294,6 +356,7 @@
     if (this->state != State::Closing || evbuffer_get_length(bufferevent_get_output(this->stream)) > 0)
         return;
     this->state = State::Lingering;
+    this->phaseBegan = EventLoop::now();
     shutdown(bufferevent_getfd(this->stream), SHUT_WR);
     this->timer.start(lingerTimeout);
 }
@@ -306,8 +369,11 @@
 
 auto CallerConnection::timedOut() -> void
 {
-    if (this->state == State::Reading && this->parser.hasBegun())
+    if (this->state == State::Reading && this->parser.hasBegun()) {
+        if (this->intake && this->parser.hasHead())
+            ++this->intake->slowBodies;
         return this->reject(statusRequestTimeout);
+    }
     if (this->state == State::Reading && this->hasUnreadInput())
         return this->timer.start(this->limits.headerTimeout);
     this->close("timed out");
@@ -325,6 +391,35 @@
         this->reject(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(otherNodeDelay) } });
 }
 
+auto CallerConnection::closeForOthers() -> bool
+{
+    if (this->state == State::Reading && !this->parser.hasBegun() && this->hasUnreadInput())
+        return false;
+    if (this->state == State::Reading && this->parser.hasBegun()) {
+        this->closesAfterResponse = true;
+        const auto text = this->responseHead(HttpStatus::unavailable, { { "Retry-After", retryAfterValue(otherNodeDelay) } }, "Content-Length: 0\r\n");
+        // Written at once, as the socket is not kept for a part that it does not take.
+        static_cast<void>(send(bufferevent_getfd(this->stream), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+    }
+    this->close("closed for others");
+    return true;
+}
+
+auto CallerConnection::use(EventLoop::TimePoint now) const -> ConnectionUse
+{
+    ConnectionUse result;
+    result.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->phaseBegan);
+    result.receivedBytes = this->parser.headSize() + this->incoming.body.size();
+    result.hasServed = this->hasServed;
+    result.phase = ConnectionUse::Phase::Responding;
+    // What is written to a caller that has not read it all is an answer in progress, even if the next request has begun.
+    if (this->state == State::Lingering)
+        result.phase = ConnectionUse::Phase::Ending;
+    else if (this->state == State::Reading && evbuffer_get_length(bufferevent_get_output(this->stream)) == 0)
+        result.phase = this->parser.hasBegun() ? ConnectionUse::Phase::Receiving : ConnectionUse::Phase::Idle;
+    return result;
+}
+
 auto CallerConnection::hasUnreadInput() const -> bool
 {
     int unread = 0;
--- a/src/forwarding/callerconnection.h
+++ b/src/forwarding/callerconnection.h
@@ -2,13 +2,16 @@
 
 #include "blockbuffer.h"
 #include "bufferbudget.h"
+#include "connectionchoice.h"
 #include "eventloop.h"
+#include "intake.h"
 #include "messageparser.h"
 #include "trafficconfiguration.h"
 
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <sigc++/signal.h>
 #include <string>
 #include <string_view>
@@ -23,7 +26,7 @@
 /** A complete request of a caller. */
 struct CallerMessage {
     MessageHead head;
-    std::string body;
+    BlockBuffer body;
     EventLoop::TimePoint received; ///< Time at which the headers were complete.
 };
 
@@ -36,17 +39,17 @@
  */
 class CallerExchange {
 public:
-    CallerExchange(CallerConnection&, BufferBudget&, CallerMessage);
+    CallerExchange(CallerConnection&, BufferBudget&, CallerMessage, Intake*);
     CallerExchange(const CallerExchange&) = delete;
     auto operator=(const CallerExchange&) -> CallerExchange& = delete;
 
     [[nodiscard]] auto request() const -> const CallerMessage& { return this->message; }
 
     /** Returns the body of the request, which request() no longer has afterwards. */
-    auto takeBody() -> std::string { return std::exchange(this->message.body, {}); }
+    auto takeBody() -> BlockBuffer { return std::exchange(this->message.body, {}); }
 
     auto respond(int status, const HttpHeaders&, std::string_view body) -> void;
-    auto respond(int status, const HttpHeaders&, const BlockBuffer& body) -> void;
+    auto respond(int status, const HttpHeaders&, BlockBuffer&& body) -> void;
     auto beginStream(int status, const HttpHeaders&) -> void;
     auto sendPiece(std::string_view) -> void;
     auto endStream() -> void;
@@ -72,6 +75,7 @@
     CallerConnection* connection;
     CallerMessage message;
     BufferBudget::Account buffered; ///< For the body of the request, which is kept for all attempts.
+    std::optional<BodyAdmission::Share> admitted; ///< For the same body.
 };
 
 /**
@@ -82,8 +86,11 @@
     using RequestHandler = std::function<void(const std::shared_ptr<CallerExchange>&)>;
     using ClosedHandler = std::function<void(CallerConnection&)>;
 
-    /** Takes ownership of \a socket. What is buffered counts against \a buffers. \a closed is called last, from the event loop, and may destroy the connection. */
-    CallerConnection(EventLoop&, int socket, const CallerLimits&, BufferBudget& buffers, RequestHandler, ClosedHandler closed);
+    /**
+     * Takes ownership of \a socket. What is buffered counts against \a buffers. \a closed is called last, from the event loop, and may
+     * destroy the connection. Without \a intake, which has to outlive the exchanges, bodies are limited by \a buffers alone.
+     */
+    CallerConnection(EventLoop&, int socket, const CallerLimits&, BufferBudget& buffers, RequestHandler, ClosedHandler closed, Intake* intake = nullptr);
     ~CallerConnection();
     CallerConnection(const CallerConnection&) = delete;
     auto operator=(const CallerConnection&) -> CallerConnection& = delete;
@@ -97,6 +104,12 @@
     /** Refuses the request that has arrived only in part, if there is one, and closes the connection. */
     auto refuseIncomplete() -> void;
 
+    /** Closes the connection so that its descriptor can be used for another one, unless the next request has arrived unread; an incomplete request is refused first. Returns whether it is closed. */
+    auto closeForOthers() -> bool;
+
+    /** Returns what the connection is used for at \a now. */
+    [[nodiscard]] auto use(EventLoop::TimePoint now) const -> ConnectionUse;
+
     [[nodiscard]] auto isResponding() const -> bool { return this->exchange != nullptr; }
 
     /** Returns whether a request has arrived at least in part or is being handled, or a response is not completely sent. */
@@ -117,6 +130,10 @@
     auto parseInput() -> void;
     auto headReceived(const MessageHead&) -> void;
     auto bodyReceived(std::string_view) -> void;
+    auto countIncoming() -> void;
+    auto refuse() -> void;
+    auto waitForBody() -> void;
+    auto responseHead(int status, const HttpHeaders&, std::string_view framing) const -> std::string;
     auto messageReceived() -> void;
     auto outputChanged() -> void;
     auto outputWritten() -> void;
@@ -135,19 +152,24 @@
     EventLoop& loop;
     CallerLimits limits;
     BufferBudget& buffers;
+    Intake* intake;
     RequestHandler requestHandler;
     ClosedHandler closedHandler;
     bufferevent* stream;
     MessageParser parser;
     Timer timer;
     State state = State::Reading;
+    EventLoop::TimePoint phaseBegan; ///< Time at which the connection became idle, or its request or its end began.
+    bool hasServed = false; ///< Whether a whole request has arrived.
     CallerMessage incoming;
     std::shared_ptr<CallerExchange> exchange;
     bool isStreaming = false;
     bool closesAfterResponse = false;
     bool isTooLarge = false;
-    std::unique_ptr<BufferBudget::Account> incomingBytes; ///< For the body of a request that is still arriving.
-    std::unique_ptr<BufferBudget::Account> unreadBytes; ///< For output that the caller has not read, while it is too much for a stream.
+    bool isRefused = false; ///< Whether the body that arrives can't be admitted.
+    BufferBudget::Account heldBytes; ///< For the connection itself and the input behind an open request.
+    std::unique_ptr<BufferBudget::Account> incomingBytes; ///< For the headers and the body of a request that is still arriving, once they are large.
+    std::unique_ptr<BufferBudget::Account> unreadBytes; ///< For output that the caller has not read, once it is large.
     std::shared_ptr<bool> isAlive;
 };
 
--- a/src/forwarding/callerlistener.h
+++ b/src/forwarding/callerlistener.h
@@ -8,6 +8,7 @@
 #include <sigc++/signal.h>
 #include <system_error>
 
+struct event;
 struct evconnlistener;
 
 namespace Primrosefork {
@@ -17,8 +18,8 @@
  */
 class CallerListener {
 public:
-    /** Buffered requests and answers count against \a buffers. */
-    CallerListener(EventLoop&, BufferBudget& buffers, CallerConnection::RequestHandler);
+    /** Buffered requests and answers count against \a buffers; \a intake limits bodies and connections, if it is given. */
+    CallerListener(EventLoop&, BufferBudget& buffers, CallerConnection::RequestHandler, Intake* intake = nullptr);
     ~CallerListener();
     CallerListener(const CallerListener&) = delete;
     auto operator=(const CallerListener&) -> CallerListener& = delete;
@@ -46,15 +47,28 @@
 
 private:
     auto accepted(int socket) -> void;
+    auto stopAccepting() -> void;
 
-    /** Accepts the connections that callers have opened already. */
+    /** Returns whether the descriptors that connections of callers may take are in use. */
+    [[nodiscard]] auto isShortOfDescriptors() const -> bool;
+
+    /** Closes the connections that are used least. */
+    auto makeRoom() -> void;
+
+    /** Accepts no connections for \a time. */
+    auto pauseAccepting(std::chrono::milliseconds time) -> void;
+
+    /** Accepts the connections that callers have opened already; closes others and pauses when descriptors are short. */
     auto acceptPending() -> void;
 
     EventLoop& loop;
     BufferBudget& buffers;
     CallerConnection::RequestHandler requestHandler;
+    Intake* intake;
     CallerLimits limits;
     evconnlistener* listener = nullptr;
+    event* acceptEvent = nullptr; ///< Pending while connections are accepted.
+    Timer acceptTimer;
     std::map<CallerConnection*, std::unique_ptr<CallerConnection>> connections;
     bool isDraining = false;
 };
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -41,7 +41,7 @@
     , exchange(std::move(callerExchange))
     , onEnd(std::move(onEnd))
     , deadlineTimer(context.loop, [this] { this->deadlineReached(); })
-    , body(std::make_shared<const std::string>(this->exchange->takeBody()))
+    , body(std::make_shared<const BlockBuffer>(this->exchange->takeBody()))
     , lastEventId(this->details.fields.lastEventId)
     , isAlive(std::make_shared<bool>(true))
 {
@@ -167,7 +167,7 @@
         if (!current.isForwardable())
             return;
         current.body.add(bytes);
-        return current.buffered->resize(current.body.size());
+        return current.buffered->resize(current.body.capacity());
     }
     current.events.add(bytes, [this](const StreamEvent& event) { this->eventReceived(event); });
     if (current.events.pendingBytes() > maxEventBytes)
@@ -261,7 +261,7 @@
     this->forwardResponse(current);
 }
 
-auto ForwardRun::forwardResponse(const ForwardAttempt& current) -> void
+auto ForwardRun::forwardResponse(ForwardAttempt& current) -> void
 {
     if (this->phase == Phase::Streaming) {
         if (current.isEventStream) {
@@ -274,7 +274,7 @@
         }
         return this->finish();
     }
-    this->exchange->respond(current.status, withoutHopHeaders(current.headers), current.body);
+    this->exchange->respond(current.status, withoutHopHeaders(current.headers), std::move(current.body));
     this->recordOutcome(current.status, "");
     this->finish();
 }
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -86,7 +86,7 @@
     [[nodiscard]] auto wasStoppedByMove() const -> bool;
     [[nodiscard]] auto quarantineLeft() const -> std::optional<std::chrono::milliseconds>;
     auto giveUp() -> void;
-    auto forwardResponse(const ForwardAttempt&) -> void;
+    auto forwardResponse(ForwardAttempt&) -> void;
     auto refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void;
     auto fail(int status, const char* reason) -> void;
     auto reportStart(std::chrono::milliseconds ago) -> void;
@@ -102,7 +102,7 @@
     Phase phase = Phase::Waiting;
     std::optional<ForwardAttempt> attempt;
     std::set<std::string> excluded; ///< Servers that failed or refused this request.
-    std::shared_ptr<const std::string> body;
+    std::shared_ptr<const BlockBuffer> body;
     std::optional<std::string> lastEventId; ///< Id of the last event that the caller has, from an earlier stream or from this one.
     StreamProgress progress;
     RunMove move; ///< Move of the current attempt's run.
--- a/src/forwarding/messageparser.h
+++ b/src/forwarding/messageparser.h
@@ -67,6 +67,9 @@
 
     /** Returns whether a part of a message has been read. */
     [[nodiscard]] auto hasBegun() const -> bool { return this->headBytes > 0; }
+
+    /** Returns the number of bytes read up to the end of the head; may include a part of the body. */
+    [[nodiscard]] auto headSize() const -> std::size_t { return this->headBytes; }
     [[nodiscard]] auto hasHead() const -> bool { return this->isHeadComplete; }
     [[nodiscard]] auto head() const -> const MessageHead& { return this->current; }
 
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -28,6 +28,7 @@
     , systems(std::move(nodeSystems))
     , log(this->settings.logLevel)
     , buffers(this->settings.memory / requestBufferDivisor)
+    , intake(this->settings.intake, this->buffers.limit())
     , settingsMonitor(this->settings, this->metrics, this->log)
     , epochs(*this->systems.store, this->metrics, this->log)
     , clockTimer(loop, [this] { this->sampleClock(); })
@@ -42,7 +43,9 @@
     , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->relay, this->epochs, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
     , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->leadership, this->metrics, this->log)
-    , callers(loop, this->buffers, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
+    , callers(
+          loop, this->buffers, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); }, &this->intake)
+    , intakeControl(loop, this->intake, this->buffers, this->callers, this->settings.memory, this->metrics, this->log)
     , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isConfigurationFresh(); })
     , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
         exchange->respond({ this->lifecycle.isReady() ? HttpStatus::ok : HttpStatus::unavailable, {}, "" });
@@ -89,6 +92,7 @@
     this->log.write(Event::NodeStarted, { { "node", this->settings.id }, { "zone", this->settings.zone }, { "callers", this->settings.callers.toString() }, { "digest", digestText(settingsDigest(this->settings)) } });
     this->sampleClock();
     this->clockTimer.startRepeating(clockPeriod);
+    this->intakeControl.begin();
     // First, since the number of nodes decides how the others follow the store.
     if (const auto error = this->coordination.begin())
         return error;
@@ -122,8 +126,7 @@
 {
     const auto& path = exchange->request().path;
     if (path == "/metrics") {
-        this->metrics.setGauge("buffered_bytes", static_cast<double>(this->buffers.size()));
-        this->metrics.setGauge("buffers_given_up", static_cast<double>(this->buffers.givenUpCount()));
+        this->intakeControl.updateMetrics();
         return exchange->respond({ HttpStatus::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.toText() });
     }
     if (path == "/state")
@@ -135,7 +138,7 @@
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->usageReports, &this->fleet, &this->forwarding })
+             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->usageReports, &this->fleet, &this->forwarding, &this->intakeControl })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -11,6 +11,7 @@
 #include "gatewaysettings.h"
 #include "headercodec.h"
 #include "httpserver.h"
+#include "intakecontroller.h"
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "metrics.h"
@@ -78,6 +79,7 @@
     GatewaySystems systems;
     EventLog log;
     BufferBudget buffers; ///< For requests and answers.
+    Intake intake;
     Metrics metrics;
     GatewayBoard shared;
     WallClock clock;
@@ -96,6 +98,7 @@
     UsageController usageReports;
     FleetController fleet;
     CallerListener callers;
+    IntakeController intakeControl;
     StopController lifecycle;
     HttpServer readinessServer;
     HttpServer operatorServer;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -18,6 +18,8 @@
 constexpr double maxProcessorShare = 1'024;
 constexpr std::size_t minMemory = mebibyte;
 constexpr std::size_t maxMemory = 1'048'576 * mebibyte;
+constexpr std::size_t maxBodyRate = 1'024 * mebibyte;
+constexpr std::int64_t maxDescriptors = 1'048'576;
 constexpr std::array logLevels { "debug", "info", "warn", "error" };
 
 auto readNode(JsonReader& reader, GatewaySettings& settings) -> void
@@ -37,6 +39,15 @@
     reader.address("operators", settings.operators);
 }
 
+auto readIntake(JsonReader& reader, IntakeSettings& intake) -> void
+{
+    reader.size("body_rate", intake.bodyRate, 1, maxBodyRate);
+    reader.duration("body_time", intake.bodyTime, 100ms, 1h);
+    auto descriptors = static_cast<std::int64_t>(intake.descriptors);
+    reader.optionalInteger("descriptors", descriptors, 0, maxDescriptors);
+    intake.descriptors = static_cast<std::size_t>(descriptors);
+}
+
 auto readSystems(JsonReader& reader, GatewaySettings& settings) -> void
 {
     reader.address("key_value_service", settings.keyValueService);
@@ -101,6 +112,7 @@
     reader.object("listen", [&settings](JsonReader& listen) { readListen(listen, settings); });
     reader.object("systems", [&settings](JsonReader& systems) { readSystems(systems, settings); });
     reader.optionalObject("bounds", [&settings](JsonReader& bounds) { readBounds(bounds, settings.bounds); });
+    reader.optionalObject("intake", [&settings](JsonReader& intake) { readIntake(intake, settings.intake); });
     reader.optionalString("log_level", settings.logLevel);
     if (!isKnownLevel(settings.logLevel))
         reader.report("log_level", "expected one of debug info warn error");
@@ -162,6 +174,9 @@
         { "/listen/operators", current.operators == next.operators },
         { "/systems/key_value_service", current.keyValueService == next.keyValueService },
         { "/systems/fleet_api", current.fleetApi == next.fleetApi },
+        { "/intake/body_rate", current.intake.bodyRate == next.intake.bodyRate },
+        { "/intake/body_time", current.intake.bodyTime == next.intake.bodyTime },
+        { "/intake/descriptors", current.intake.descriptors == next.intake.descriptors },
         { "/log_level", current.logLevel == next.logLevel },
     };
     std::vector<std::string> paths;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "finding.h"
+#include "intakesettings.h"
 #include "units.h"
 
 #include <chrono>
@@ -50,6 +51,7 @@
     Address keyValueService;
     Address fleetApi; ///< Address of the fleet API; port 0 when the platform has none.
     GatewayBounds bounds;
+    IntakeSettings intake;
     std::string logLevel = "info";
 };
 
--- a/src/http/bufferbudget.cpp
+++ b/src/http/bufferbudget.cpp
@@ -1,5 +1,6 @@
 #include "bufferbudget.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace Primrosefork {
@@ -23,6 +24,7 @@
     auto& owner = this->budget;
     owner.candidates.erase({ this->bytes, this });
     owner.total = owner.total - this->bytes + newBytes;
+    owner.peak = std::max(owner.peak, owner.total);
     this->bytes = newBytes;
     if (this->giveUp && newBytes > 0)
         owner.candidates.emplace(newBytes, this);
--- a/src/http/bufferbudget.h
+++ b/src/http/bufferbudget.h
@@ -48,6 +48,9 @@
 
     [[nodiscard]] auto limit() const -> std::size_t { return this->maximum; }
 
+    /** Returns the largest number of bytes in all buffers since the last call. */
+    auto takePeak() -> std::size_t { return std::exchange(this->peak, this->total); }
+
     /** Returns the number of buffers that were given up. */
     [[nodiscard]] auto givenUpCount() const -> std::size_t { return this->givenUp; }
 
@@ -56,6 +59,7 @@
 
     std::size_t maximum;
     std::size_t total = 0;
+    std::size_t peak = 0;
     std::size_t givenUp = 0;
     std::set<std::pair<std::size_t, Account*>> candidates; ///< Buffers that hold bytes and can be given up, the largest one last.
 };
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -51,6 +51,7 @@
     EventDescription { Event::RequestRefused, Severity::Info, "requestRefused" },
     EventDescription { Event::PromptQuarantined, Severity::Warning, "promptQuarantined" },
     EventDescription { Event::PromptReleased, Severity::Info, "promptReleased" },
+    EventDescription { Event::CallersLimited, Severity::Warning, "callersLimited" },
     EventDescription { Event::ClaimsUnavailable, Severity::Error, "claimsUnavailable" },
     EventDescription { Event::ClaimsRecovered, Severity::Info, "claimsRecovered" },
     EventDescription { Event::OutcomeNotKept, Severity::Warning, "outcomeNotKept" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -61,6 +61,7 @@
     RequestRefused = 4103,
     PromptQuarantined = 4201,
     PromptReleased = 4202,
+    CallersLimited = 4401,
     ClaimsUnavailable = 5001,
     ClaimsRecovered = 5002,
     OutcomeNotKept = 5003,
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -99,6 +99,11 @@
     { "a duration beyond the range", "/bounds/drain", "1e300s", "/bounds/drain" },
     { "a ratio above one", "/bounds/attempt_ratio", 2, "/bounds/attempt_ratio" },
     { "an unknown field", "/bounds/colour", "red", "/bounds/colour" },
+    { "a body rate without a unit", "/intake/body_rate", 16, "/intake/body_rate" },
+    { "a body rate of nothing", "/intake/body_rate", "0B", "/intake/body_rate" },
+    { "a body time beyond the range", "/intake/body_time", "2h", "/intake/body_time" },
+    { "a number of descriptors below zero", "/intake/descriptors", -1, "/intake/descriptors" },
+    { "an unknown limit on callers", "/intake/colour", 1, "/intake/colour" },
     { "an unknown log level", "/log_level", "loud", "/log_level" },
     { "a revocation time that is shorter than the time for changes", "/bounds/revocation", "1s", "/bounds/revocation" },
 };
@@ -150,6 +155,9 @@
     { "peers", "/listen/peers", "127.0.0.1:9", false, { "/listen/peers" } },
     { "operators", "/listen/operators", "127.0.0.1:9", false, { "/listen/operators" } },
     { "store", "/systems/key_value_service", "127.0.0.1:9", false, { "/systems/key_value_service" } },
+    { "body rate", "/intake/body_rate", "8KiB", false, { "/intake/body_rate" } },
+    { "body time", "/intake/body_time", "60s", false, { "/intake/body_time" } },
+    { "descriptors", "/intake/descriptors", 500, false, { "/intake/descriptors" } },
     { "fleet API", "/systems/fleet_api", "127.0.0.1:9", false, { "/systems/fleet_api" } },
 };
 
