--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -97,7 +97,7 @@
     [[nodiscard]] auto wasStoppedByMove() const -> bool;
     [[nodiscard]] auto quarantineLeft() const -> std::optional<std::chrono::milliseconds>;
     auto giveUp() -> void;
-    auto forwardResponse(const ForwardAttempt&) -> void;
+    auto forwardResponse(ForwardAttempt&) -> void;
     auto refuse(const char* reason, std::chrono::milliseconds retryAfter) -> void;
     auto fail(int status, const char* reason) -> void;
     auto reportStart(std::chrono::milliseconds ago) -> void;
@@ -114,7 +114,7 @@
     std::optional<ForwardAttempt> attempt;
     std::set<std::string> excluded; ///< Servers that failed or refused this request.
     std::set<std::string> full; ///< Servers among them that had no room for it.
-    std::shared_ptr<const std::string> body;
+    std::shared_ptr<const BlockBuffer> body;
     std::optional<std::string> lastEventId; ///< Id of the last event that the caller has, from an earlier stream or from this one.
     StreamProgress progress;
     RunMove move; ///< Move of the current attempt's run.
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "finding.h"
+#include "intakesettings.h"
 #include "units.h"
 
 #include <chrono>
@@ -57,6 +58,7 @@
     GatewayBounds bounds;
     bool sharesLoad = false; ///< Whether nodes share the load that they put on backend servers.
     AdmissionSettings admission;
+    IntakeSettings intake;
     std::string logLevel = "info";
 };
 
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -52,6 +52,7 @@
     EventDescription { Event::NoRoom, Severity::Info, "noRoom" },
     EventDescription { Event::PromptQuarantined, Severity::Warning, "promptQuarantined" },
     EventDescription { Event::PromptReleased, Severity::Info, "promptReleased" },
+    EventDescription { Event::CallersLimited, Severity::Warning, "callersLimited" },
     EventDescription { Event::ClaimsUnavailable, Severity::Error, "claimsUnavailable" },
     EventDescription { Event::ClaimsRecovered, Severity::Info, "claimsRecovered" },
     EventDescription { Event::OutcomeNotKept, Severity::Warning, "outcomeNotKept" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -62,6 +62,7 @@
     NoRoom = 4104,
     PromptQuarantined = 4201,
     PromptReleased = 4202,
+    CallersLimited = 4401,
     ClaimsUnavailable = 5001,
     ClaimsRecovered = 5002,
     OutcomeNotKept = 5003,
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -102,6 +102,11 @@
     { "a shared load that is no boolean", "/load/shared", "yes", "/load/shared" },
     { "a switch that is no boolean", "/admission/enabled", "yes", "/admission/enabled" },
     { "an unknown field of admission", "/admission/colour", "red", "/admission/colour" },
+    { "a body rate without a unit", "/intake/body_rate", 16, "/intake/body_rate" },
+    { "a body rate of nothing", "/intake/body_rate", "0B", "/intake/body_rate" },
+    { "a body time beyond the range", "/intake/body_time", "2h", "/intake/body_time" },
+    { "a number of descriptors below zero", "/intake/descriptors", -1, "/intake/descriptors" },
+    { "an unknown limit on callers", "/intake/colour", 1, "/intake/colour" },
     { "an unknown log level", "/log_level", "loud", "/log_level" },
     { "a revocation time that is shorter than the time for changes", "/bounds/revocation", "1s", "/bounds/revocation" },
 };
@@ -157,6 +162,9 @@
     { "peers", "/listen/peers", "127.0.0.1:9", false, { "/listen/peers" } },
     { "operators", "/listen/operators", "127.0.0.1:9", false, { "/listen/operators" } },
     { "store", "/systems/key_value_service", "127.0.0.1:9", false, { "/systems/key_value_service" } },
+    { "body rate", "/intake/body_rate", "8KiB", false, { "/intake/body_rate" } },
+    { "body time", "/intake/body_time", "60s", false, { "/intake/body_time" } },
+    { "descriptors", "/intake/descriptors", 500, false, { "/intake/descriptors" } },
     { "fleet API", "/systems/fleet_api", "127.0.0.1:9", false, { "/systems/fleet_api" } },
 };
 
