Zones: Added the shares of requests that leave their data centre

The cost of another data centre was one constant, whether the own one was idle or had lost half of its engines. The leader now decides a share in eighths for each service and zone from the wait, the cost of leaving and the utilization that the demand will cause; nodes select prompts by their home and hold the last share for 2 s without the leader. Active with the section /zones only.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -385,6 +385,7 @@
     answer.otherShare = minEqualPart / static_cast<double>(nodes);
     answer.streamEngines = this->streamEngines;
     answer.observers = this->observers.value().addresses;
+    this->answering.emit(node->second.report, answer);
     return answer;
 }
 
@@ -460,6 +461,7 @@
     // The leader answers itself at once; an answer to an earlier report has a time that is no longer known.
     if (answer.reportSequence == 0 || report != this->reportTimes.end())
         this->limits.applyAnswer(answer, answer.reportSequence == 0 ? BootClock::now() : report->second);
+    this->answered.emit(answer);
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     current.otherQuotaShare = answer.otherShare;
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -67,6 +67,12 @@
     /** Emitted when the leader answered a report, with the revision of the newest change of the registry that it has seen, the time at which that was the newest, and the sender's term. */
     sigc::signal<void, StoreRevision, BootClock::time_point, std::uint64_t> leaderAnswered;
 
+    /** Emitted before the leader answers a node's report, with the report and the answer, to which receivers add their parts. */
+    sigc::signal<void, const NodeReport&, FleetAnswer&> answering;
+
+    /** Emitted with each answer of the leader, also its answers to itself. */
+    sigc::signal<void, const FleetAnswer&> answered;
+
     /** Emitted once with the records of all nodes in the store, and the time at which they were requested. */
     sigc::signal<void, const StoreListing&, BootClock::time_point> recordsRead;
 
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -1,5 +1,7 @@
 #include "fleetmessage.h"
 
+#include "overflowencoding.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
@@ -217,6 +219,7 @@
     serializeAs<std::uint32_t>(archive, value.waitingRequests);
     serializeAs<std::uint32_t>(archive, value.openStreams);
     serializeAmount(archive, value.requestsPerSecond);
+    serializeAmount(archive, value.promptTokensPerSecond);
 }
 
 template <typename Archive>
@@ -294,6 +297,18 @@
     archive(value.server, value.count);
 }
 
+/** Serialises \a value as one text, which is empty when it is not set. */
+template <typename Archive>
+static auto serializeOverflow(Archive& archive, std::optional<std::vector<OverflowShare>>& value) -> void
+{
+    auto bytes = value ? encodeOverflow(*value) : std::string();
+    serializeText(archive, bytes);
+    const auto isSet = !bytes.empty();
+    value = isSet ? decodeOverflow(bytes) : std::nullopt;
+    if (isSet && !value)
+        throw cereal::Exception("not overflow shares");
+}
+
 template <typename Archive>
 static auto serialize(Archive& archive, NodeReport& value) -> void
 {
@@ -308,6 +323,7 @@
     serializeList(archive, value.prompts);
     serializeList(archive, value.limits);
     archive(value.limitsDigest);
+    serializeOverflow(archive, value.overflow);
 }
 
 template <typename Archive>
@@ -341,6 +357,7 @@
     serializeFlag(archive, value.hasLimits);
     serializeFlag(archive, value.hasAllLimits);
     serializeList(archive, value.limits);
+    serializeOverflow(archive, value.overflow);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "keyvaluestore.h"
+#include "overflowshare.h"
 #include "promptevidence.h"
 #include "quotaledger.h"
 #include "serverlimits.h"
@@ -38,6 +39,7 @@
     std::int64_t waitingRequests = 0; ///< Number of requests that wait for a server.
     std::int64_t openStreams = 0; ///< Number of long streams among all requests of the service.
     double requestsPerSecond = 0; ///< Requests of callers per second, whether they were served or refused for want of a server.
+    double promptTokensPerSecond = 0; ///< Prompt tokens per second of the requests that were sent to engines, cached ones included; 0 when requests do not leave their zone.
 };
 
 /** A node's report to the leader. */
@@ -54,6 +56,7 @@
     std::vector<PromptEvidence> prompts; ///< Evidence of prompts that crash servers, by service.
     std::vector<LimitStatement> limits; ///< Limits that servers named or withdrew lately; all that are known for a new leader.
     std::uint64_t limitsDigest = 0; ///< Digest of all limits that the node knows.
+    std::optional<std::vector<OverflowShare>> overflow; ///< Shares in force on the node; filled in for a new leader only.
 };
 
 /** The share of a workspace's quota that one node may grant without the leader. */
@@ -86,6 +89,7 @@
     bool hasLimits = false; ///< Whether the limits that the leader knows are listed, since the node knows others.
     bool hasAllLimits = false; ///< Whether the leader knows all limits; a new leader may not know them yet.
     std::vector<LimitStatement> limits;
+    std::optional<std::vector<OverflowShare>> overflow; ///< Shares of the node's zone; not set while the leader does not know them.
     bool hasAllQuarantines = false; ///< Whether all parts under quarantine are named; a new leader may not know them yet.
 };
 
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -339,11 +339,15 @@
         return nullptr;
     auto routing = request.routingRequest();
     routing.zone = this->settings.zone;
-    auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random);
+    if (this->zoneSelector)
+        this->zoneSelector->selectZone(request.service->name, routing, now);
+    auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random, routing.overflowZone);
     std::erase_if(candidates, [this, &request, &excluded, now](const auto* server) {
         return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->limits.takesRequest(*server) || !this->hasFreeConnection(*server, *request.service);
     });
     const auto* server = this->policy.choose(routing, candidates, now);
+    if (server && this->zoneSelector)
+        this->zoneSelector->serverChosen(routing, *server);
     if (server)
         this->readTokens[request.service->name] += this->policy.expectedPrefillTokens(routing, *server, now);
     return server;
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -16,6 +16,7 @@
 #include "serverlimitcontroller.h"
 #include "statesource.h"
 #include "wallclock.h"
+#include "zoneselector.h"
 
 #include <map>
 #include <memory>
@@ -44,6 +45,9 @@
     /** Returns this node's report to the leader; rates cover the time since the last call. */
     auto makeReport() -> NodeReport;
 
+    /** Sets what decides which requests leave the zone; without it none do by decision of the leader. */
+    auto setZoneSelector(ZoneSelector& selector) -> void { this->zoneSelector = &selector; }
+
     [[nodiscard]] auto openCount() const -> std::size_t { return this->runs.size(); }
 
     /** Returns whether the configuration was confirmed so recently that a revoked credential would be known by now; only then are requests with a credential served. */
@@ -100,6 +104,7 @@
     BackendPool pool;
     CacheAwarePolicy policy;
     UsageLedger usage;
+    ZoneSelector* zoneSelector = nullptr;
     ForwardContext context;
     std::map<std::string, AttemptBudget> budgets;
     std::map<std::string, ServerIndex> serversByService; ///< Live servers, which may get new requests, by service.
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -39,7 +39,12 @@
     , registry(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->log)
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
     , relay(loop, this->settings, this->shared, { &this->traffic.storeWatcher(), &this->registry.storeWatcher(), &this->leadership.storeWatcher() }, this->metrics, this->log)
-    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->relay, this->epochs, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
+    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->relay, this->epochs, this->metrics, this->log, [this] {
+        auto report = this->forwarding.makeReport();
+        this->overflow.addToReport(report, EventLoop::now());
+        return report;
+    })
+    , overflow(loop, this->settings, this->shared, this->coordination, this->metrics, this->log)
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
     , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->leadership, this->metrics, this->log)
     , callers(loop, this->buffers, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
@@ -49,6 +54,7 @@
     })
     , operatorServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) { this->answerOperator(exchange); })
 {
+    this->forwarding.setZoneSelector(this->overflow);
     this->shared.traffic.changed.connect([this](const TrafficInForce& inForce) {
         if (inForce.table)
             this->callers.setLimits(inForce.table->configuration().limits);
@@ -95,6 +101,7 @@
     this->traffic.begin();
     this->registry.begin();
     this->relay.begin();
+    this->overflow.begin();
     if (this->settings.fleetApi.port != 0) {
         this->usageReports.begin();
         this->fleet.begin();
@@ -135,7 +142,7 @@
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->usageReports, &this->fleet, &this->forwarding })
+             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->overflow, &this->quotas, &this->quarantines, &this->limits, &this->usageReports, &this->fleet, &this->forwarding })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -14,6 +14,7 @@
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "metrics.h"
+#include "overflowcontroller.h"
 #include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "registrycontroller.h"
@@ -93,6 +94,7 @@
     LeadershipController leadership;
     RelayController relay;
     CoordinationController coordination;
+    OverflowController overflow;
     UsageController usageReports;
     FleetController fleet;
     CallerListener callers;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -62,6 +62,13 @@
     reader.duration("heartbeat", bounds.heartbeat, 100ms, 10min, Rounding::Up);
 }
 
+auto readZones(JsonReader& reader, ZoneCosts& zones) -> void
+{
+    constexpr double maxTransferCost = 1'000'000;
+    reader.number("transfer_cost", zones.transferPerMegabyte, 0, maxTransferCost);
+    reader.duration("round_trip", zones.roundTrip, 0ms, 10s);
+}
+
 /** Returns \a duration in milliseconds, as a whole number where it is one. */
 auto milliseconds(std::chrono::nanoseconds duration) -> nlohmann::json
 {
@@ -71,6 +78,11 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+auto zonesJson(const ZoneCosts& zones) -> nlohmann::json
+{
+    return { { "transfer_cost", zones.transferPerMegabyte }, { "round_trip", milliseconds(zones.roundTrip) } };
+}
+
 auto isKnownLevel(const std::string& level) -> bool
 {
     return std::find(logLevels.begin(), logLevels.end(), level) != logLevels.end();
@@ -101,6 +113,7 @@
     reader.object("listen", [&settings](JsonReader& listen) { readListen(listen, settings); });
     reader.object("systems", [&settings](JsonReader& systems) { readSystems(systems, settings); });
     reader.optionalObject("bounds", [&settings](JsonReader& bounds) { readBounds(bounds, settings.bounds); });
+    reader.optionalObject("zones", [&settings](JsonReader& zones) { readZones(zones, settings.zones.emplace()); });
     reader.optionalString("log_level", settings.logLevel);
     if (!isKnownLevel(settings.logLevel))
         reader.report("log_level", "expected one of debug info warn error");
@@ -113,7 +126,7 @@
 auto sharedSettings(const GatewaySettings& settings) -> nlohmann::json
 {
     const auto& bounds = settings.bounds;
-    return {
+    nlohmann::json shared {
         { "bounds",
             {
                 { "drain", bounds.drain.count() },
@@ -133,6 +146,10 @@
             } },
         { "log_level", settings.logLevel },
     };
+    // Files without the section keep the digest that they had before the section existed.
+    if (settings.zones)
+        shared["zones"] = zonesJson(*settings.zones);
+    return shared;
 }
 
 auto settingsDigest(const GatewaySettings& settings) -> std::uint64_t
@@ -163,6 +180,7 @@
         { "/systems/key_value_service", current.keyValueService == next.keyValueService },
         { "/systems/fleet_api", current.fleetApi == next.fleetApi },
         { "/log_level", current.logLevel == next.logLevel },
+        { "/zones", current.zones == next.zones },
     };
     std::vector<std::string> paths;
     for (const auto& [path, isSame] : fields) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,12 +2,14 @@
 
 #include "address.h"
 #include "finding.h"
+#include "overflowpolicy.h"
 #include "units.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +52,7 @@
     Address keyValueService;
     Address fleetApi; ///< Address of the fleet API; port 0 when the platform has none.
     GatewayBounds bounds;
+    std::optional<ZoneCosts> zones; ///< Costs of other zones; requests leave their zone by the leader's decision only when this is set.
     std::string logLevel = "info";
 };
 
--- a/src/libprimrosefork/routingpolicy.h
+++ b/src/libprimrosefork/routingpolicy.h
@@ -32,6 +32,8 @@
     const std::set<std::string>* excluded = nullptr; ///< Ids of servers that must not be chosen; null when none are excluded.
     std::int64_t priority = 5;
     std::string_view zone; ///< Zone of the node that routes the request.
+    std::string_view overflowZone; ///< Other zone that the request is sent to; empty when it stays in its own.
+    double otherZoneTokens = 0; ///< Configured cost of a server in another zone, in prompt tokens; 0 is not set.
 };
 
 /** How one attempt at a backend server ended. */
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -65,6 +65,7 @@
     EventDescription { Event::EnginesOrdered, Severity::Info, "enginesOrdered" },
     EventDescription { Event::EngineOrderFailed, Severity::Warning, "engineOrderFailed" },
     EventDescription { Event::QuotaAccountOpened, Severity::Info, "quotaAccountOpened" },
+    EventDescription { Event::OverflowChanged, Severity::Info, "overflowChanged" },
     EventDescription { Event::PeerJoined, Severity::Info, "peerJoined" },
     EventDescription { Event::PeerSuspected, Severity::Info, "peerSuspected" },
     EventDescription { Event::PeerDied, Severity::Warning, "peerDied" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -75,6 +75,7 @@
     EnginesOrdered = 6201,
     EngineOrderFailed = 6202,
     QuotaAccountOpened = 6301,
+    OverflowChanged = 6501,
     PeerJoined = 7001,
     PeerSuspected = 7002,
     PeerDied = 7003,
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -16,7 +16,7 @@
 constexpr double runningRequestTokens = 120; ///< Cost of each request that runs on an engine and slows the others there, in prompt tokens.
 constexpr double waitingRequestTokens = 2'000; ///< Cost of a waiting request of another node, whose prompt length is not known, in prompt tokens; close to a mean prompt.
 constexpr double plainRequestTokens = 1'000; ///< Cost of one slot of a plain service for the time of one call, in prompt tokens.
-constexpr double otherZoneTokens = 60; ///< Cost of the round trip to another zone, including its price, in prompt tokens.
+constexpr double otherZoneTokens = 60; ///< Smallest cost of a server in another zone, in prompt tokens; a request that overflows to that zone is not charged.
 constexpr double mismatchTokens = 8'000; ///< Cost of a prompt on an engine for long streams or the reverse, in prompt tokens; equals several mean prompts.
 constexpr double jitterTokens = 40; ///< Upper limit of the random cost that keeps nodes with the same view from all choosing the same server, in prompt tokens.
 constexpr auto cacheRetention = 20s; ///< Time since its last use after which a prefix is assumed to be evicted from a server's cache.
@@ -85,6 +85,9 @@
     const auto prefixes = prefixHashes(request.promptParts);
     std::vector<const BackendServer*> matching;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(matching), [this, &request](const auto* server) { return !this->isMismatched(request, *server); });
+    // Prompts that overflow to another zone have their home there, so that its servers cache them.
+    if (!request.overflowZone.empty() && std::any_of(matching.begin(), matching.end(), [&request](const auto* server) { return server->zone == request.overflowZone; }))
+        std::erase_if(matching, [&request](const auto* server) { return server->zone != request.overflowZone; });
     const auto* home = prefixes.empty() ? nullptr : homeOf(sharedPrefix(prefixes), matching);
     const BackendServer* best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
@@ -121,8 +124,9 @@
     const auto slowness = this->slowdowns.slowness(server) * (1 + freshness * (state.machineSlowness - 1));
 
     auto cost = jitterTokens * static_cast<double>(this->random()) / static_cast<double>(std::minstd_rand::max());
-    if (server.zone != request.zone)
-        cost += otherZoneTokens;
+    const auto isOverflowTarget = !request.overflowZone.empty() && server.zone == request.overflowZone;
+    if (server.zone != request.zone && !isOverflowTarget)
+        cost += std::max(otherZoneTokens, request.otherZoneTokens);
     if (this->isMismatched(request, server))
         cost += mismatchTokens;
     if (server.kind == BackendKind::Plain) {
--- a/src/traffic/serverindex.cpp
+++ b/src/traffic/serverindex.cpp
@@ -3,6 +3,7 @@
 #include "hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Primrosefork {
 
@@ -39,7 +40,7 @@
         (ids.contains(entry.server->id) ? this->streamEngines : this->otherServers).push_back(entry);
 }
 
-auto ServerIndex::candidates(std::uint64_t prefix, bool isLongStream, std::minstd_rand& random) const -> std::vector<const BackendServer*>
+auto ServerIndex::candidates(std::uint64_t prefix, bool isLongStream, std::minstd_rand& random, std::string_view homeZone) const -> std::vector<const BackendServer*>
 {
     if (this->all.size() <= maxCandidates)
         return this->all;
@@ -50,7 +51,10 @@
     sample.reserve(matchingSample + otherSample + 1);
     if (prefix != 0 && !matching.empty()) {
         const auto home = std::max_element(matching.begin(), matching.end(),
-            [prefix](const Entry& first, const Entry& second) { return homeWeight(first.hash, prefix) < homeWeight(second.hash, prefix); });
+            [prefix, homeZone](const Entry& first, const Entry& second) {
+                const auto rank = [prefix, homeZone](const Entry& entry) { return std::pair(!homeZone.empty() && entry.server->zone == homeZone, homeWeight(entry.hash, prefix)); };
+                return rank(first) < rank(second);
+            });
         sample.push_back(home->server);
     }
     addSample(sample, matching, matchingSample, random);
--- a/src/traffic/serverindex.h
+++ b/src/traffic/serverindex.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Primrosefork {
@@ -31,10 +32,11 @@
 
     /**
      * Returns the servers to choose from: all of them, or of more than maxCandidates a random sample that
-     * contains the home of \a prefix, unless that is 0. Most of the sample are servers of the kind that
+     * contains the home of \a prefix, unless that is 0, among the servers of \a homeZone if there are any, or else
+     * of all zones. Most of the sample are servers of the kind that
      * \a isLongStream asks for.
      */
-    [[nodiscard]] auto candidates(std::uint64_t prefix, bool isLongStream, std::minstd_rand& random) const -> std::vector<const BackendServer*>;
+    [[nodiscard]] auto candidates(std::uint64_t prefix, bool isLongStream, std::minstd_rand& random, std::string_view homeZone = {}) const -> std::vector<const BackendServer*>;
 
 private:
     struct Entry {
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -19,7 +19,7 @@
     report.windows = { { 353'445'120, { { "salon", 412 }, { "kiosk", 1 } } } };
     report.settingsDigest = 1ULL << 63U;
     report.configurationRevision = 901;
-    report.services = { { "llm", 8'000, 30'000, 5, 1, 2, 41.5 } };
+    report.services = { { "llm", 8'000, 30'000, 5, 1, 2, 41.5, 70'000 } };
     report.limits = { { 1ULL << 63U, 2.5F, 300ms }, { 8, 0, 2s } };
     report.limitsDigest = 1ULL << 62U;
     report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 0xffffffff, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms }, { 18, 59s } } } },
@@ -43,6 +43,7 @@
     answer.permits = { { 1ULL << 63U, 65'535 } };
     answer.hasLimits = true;
     answer.limits = { { 8, 0.5F, 2s } };
+    answer.overflow = { { "llm", "north-a", "north-b", 3 }, { "desk", "north-a", "north-b", 1 } };
     answer.observers = { { "10.1.0.14", 7600 }, { "127.0.0.1", 65'535 } };
     return answer;
 }
@@ -78,6 +79,8 @@
     CHECK(report.workspaces[0].locallyGrantedUnits == 70'000.25);
     CHECK(report.workspaces[0].recentUse.inWindow == 3);
     CHECK(report.workspaces[1].workspace == "kiosk");
+    CHECK(report.services.front().promptTokensPerSecond == 70'000);
+    CHECK_FALSE(report.overflow.has_value());
     CHECK(report.windows.front().counts == UsageCounts { { "salon", 412 }, { "kiosk", 1 } });
     CHECK(report.services.front().openRequests == 5);
     CHECK(report.services.front().requestsPerSecond == 41.5);
@@ -104,6 +107,22 @@
     CHECK(prompts.quarantined.front().left == 10min);
 }
 
+// Guards against a leader that takes a node without a share for one that does not state its shares.
+TEST_CASE("shares that are empty are not the same as none")
+{
+    for (const auto& overflow : { std::optional<std::vector<OverflowShare>>(), { std::vector<OverflowShare>() }, { { { "llm", "north-a", "north-b", 8 } } } }) {
+        FleetMessage message;
+        message.report = makeReport();
+        message.report->overflow = overflow;
+        message.answer = makeAnswer();
+        message.answer->overflow = overflow;
+        const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+        REQUIRE(decoded.has_value());
+        CHECK(decoded->report->overflow == overflow);
+        CHECK(decoded->answer->overflow == overflow);
+    }
+}
+
 TEST_CASE("an answer arrives as it was sent")
 {
     FleetMessage message;
@@ -119,6 +138,7 @@
     REQUIRE(decoded->answer->prompts.size() == 1);
     CHECK(decoded->answer->prompts.front().questioned == std::vector<std::uint64_t> { 5, 1ULL << 63U });
     CHECK(decoded->answer->prompts.front().quarantined.front().left == 599'999ms);
+    CHECK(decoded->answer->overflow == makeAnswer().overflow);
     CHECK(decoded->answer->hasAllQuarantines);
     CHECK(decoded->answer->permits.front().count == 65'535);
     CHECK(decoded->answer->hasLimits);
--- a/tests/gateway/test_gatewaysettings.cpp
+++ b/tests/gateway/test_gatewaysettings.cpp
@@ -36,6 +36,19 @@
     CHECK_FALSE(isGatewaySettings("[]"));
 }
 
+// Guards against a deployment without the section whose requests leave their zone, and against a round trip below a millisecond that is read as 0.
+TEST_CASE("the costs of other zones are read only where the section is")
+{
+    Findings findings;
+    CHECK_FALSE(parseGatewaySettings(validSettings().dump(), findings).zones.has_value());
+    auto json = validSettings();
+    json["zones"] = Json::object();
+    CHECK(parseGatewaySettings(json.dump(), findings).zones == ZoneCosts { 3ms, 0 });
+    json["zones"] = { { "transfer_cost", 12.5 }, { "round_trip", "0.5ms" } };
+    CHECK(parseGatewaySettings(json.dump(), findings).zones == ZoneCosts { 500us, 12.5 });
+    CHECK(findings.empty());
+}
+
 /** A bound whose number is a fraction, with the bound that follows. */
 struct FractionCase {
     const char* bound;
@@ -99,6 +112,9 @@
     { "a duration beyond the range", "/bounds/drain", "1e300s", "/bounds/drain" },
     { "a ratio above one", "/bounds/attempt_ratio", 2, "/bounds/attempt_ratio" },
     { "an unknown field", "/bounds/colour", "red", "/bounds/colour" },
+    { "a negative price of bytes between zones", "/zones", { { "transfer_cost", -1 } }, "/zones/transfer_cost" },
+    { "a round trip without a unit", "/zones", { { "round_trip", 3 } }, "/zones/round_trip" },
+    { "an unknown field of the zones", "/zones", { { "hue", 3 } }, "/zones/hue" },
     { "an unknown log level", "/log_level", "loud", "/log_level" },
     { "a revocation time that is shorter than the time for changes", "/bounds/revocation", "1s", "/bounds/revocation" },
 };
@@ -140,6 +156,9 @@
     { "quota excess", "/bounds/quota_excess", 0.2, true, {} },
     { "quota slack", "/bounds/quota_slack", 0, true, {} },
     { "heartbeat", "/bounds/heartbeat", "2s", true, {} },
+    { "the section for zones", "/zones", Json::object(), true, { "/zones" } },
+    { "transfer cost", "/zones", { { "transfer_cost", 50 } }, true, { "/zones" } },
+    { "round trip", "/zones", { { "round_trip", "1.4ms" } }, true, { "/zones" } },
     { "log level", "/log_level", "warn", true, { "/log_level" } },
     { "id", "/node/id", "n2", false, { "/node/id" } },
     { "zone", "/node/zone", "b", false, { "/node/zone" } },
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -193,4 +193,63 @@
     CHECK(policy.knownServers() == 0);
 }
 
+struct ZoneCase {
+    const char* name;
+    const char* overflowZone;
+    double otherZoneTokens; ///< Configured cost.
+    std::int64_t prompt; ///< Prompt tokens that the own zone's server has yet to prefill for other requests.
+    const char* expected; ///< Zone of the chosen server.
+};
+
+const ZoneCase zoneCases[] = {
+    { "idle", "", 0, 0, "a" },
+    { "another zone costs 60 tokens without the setting", "", 0, 130, "b" },
+    { "the configured cost when it is larger", "", 4'000, 2'000, "a" },
+    { "the configured cost is no limit", "", 4'000, 20'000, "b" },
+    { "a smaller configured cost changes nothing", "", 10, 0, "a" },
+    { "a selected request pays nothing for the target zone", "b", 4'000, 130, "b" },
+    { "a selected request pays for a third zone", "c", 4'000, 130, "a" },
+};
+
+// Guards against requests that leave their zone though the price is high, and against selected ones that stay.
+TEST_CASE("another zone costs what is configured, but nothing for a request that overflows there")
+{
+    for (const auto& row : zoneCases) {
+        CAPTURE(row.name);
+        Pool pool(2, BackendKind::Engine);
+        pool.servers[1].zone = "b";
+        CacheAwarePolicy policy(1);
+        const std::vector<PromptPart> other { { 77, row.prompt } };
+        if (row.prompt > 0)
+            policy.requestSent(makeRequest(1, other), pool.servers[0], start);
+        const std::vector<PromptPart> none;
+        auto request = makeRequest(2, none);
+        request.promptTokens = 500;
+        request.overflowZone = row.overflowZone;
+        request.otherZoneTokens = row.otherZoneTokens;
+        const auto* server = policy.choose(request, pool.pointers, start);
+        REQUIRE(server != nullptr);
+        CHECK(server->zone == row.expected);
+    }
+}
+
+// Guards against prompts that overflow and are then spread over the servers of the other zone, none of which caches them.
+TEST_CASE("prompts that overflow have their home in the target zone, the same on every node")
+{
+    Pool pool(12, BackendKind::Engine);
+    for (std::size_t index = 6; index < 12; ++index)
+        pool.servers[index].zone = "b";
+    for (std::uint64_t session = 1; session <= 50; ++session) {
+        const std::vector<PromptPart> parts { { 1, 2'500 }, { 1'000 + session, 3'800 }, { 5'000 + session, 2'900 } };
+        CacheAwarePolicy first(1);
+        CacheAwarePolicy second(2);
+        auto request = makeRequest(1, parts);
+        request.overflowZone = "b";
+        const auto* home = first.choose(request, pool.pointers, start);
+        REQUIRE(home != nullptr);
+        CHECK(home->zone == "b");
+        CHECK(second.choose(request, pool.pointers, start) == home);
+    }
+}
+
 } // namespace
--- a/tests/traffic/test_serverindex.cpp
+++ b/tests/traffic/test_serverindex.cpp
@@ -92,4 +92,21 @@
     }
 }
 
+// Guards against a sample without the home in the zone that a prompt overflows to.
+TEST_CASE("the home is one of the wanted zone when it has servers")
+{
+    Servers servers(400);
+    for (std::size_t index = 0; index < 20; ++index)
+        servers.list[index * 20].zone = "b";
+    const ServerIndex index(servers.pointers);
+    std::minstd_rand first(1);
+    std::minstd_rand second(2);
+    for (std::uint64_t prefix = 1; prefix <= 50; ++prefix) {
+        const auto* home = index.candidates(prefix, false, first, "b").front();
+        CHECK(home->zone == "b");
+        CHECK(index.candidates(prefix, false, second, "b").front() == home);
+        CHECK(index.candidates(prefix, false, first, "z").front() == index.candidates(prefix, false, second).front());
+    }
+}
+
 } // namespace
