Gateway: Ordered engines where room is lacking, and documented requests that leave their zone

Among zones with the same price, on-demand engines are added where requests exceed the slots the most; without rooms the order is as before.

--- a/src/gateway/fleetcontroller.cpp
+++ b/src/gateway/fleetcontroller.cpp
@@ -22,6 +22,17 @@
 constexpr auto planRetention = 10s; ///< Time without the leadership after which another node may have planned.
 constexpr auto reportTimeout = 3s; ///< Age of a node's last report at which its load is no longer counted.
 
+/** Returns by zone how many requests exceed the slots, as a part of these. */
+auto shortagesOf(const std::vector<ZoneRoom>& rooms) -> std::map<std::string, double>
+{
+    std::map<std::string, double> shortages;
+    for (const auto& room : rooms) {
+        const auto excess = std::max<std::int64_t>(0, room.openRequests + room.waitingRequests - room.slots);
+        shortages[room.zone] = static_cast<double>(excess) / static_cast<double>(std::max<std::int64_t>(1, room.slots));
+    }
+    return shortages;
+}
+
 } // namespace
 
 FleetController::FleetController(EventLoop& loop, KeyValueStore& store, FleetApi& fleet, const GatewaySettings& settings, GatewayBoard& board,
@@ -179,6 +190,8 @@
     }
     this->metrics.setGauge("read_tokens_per_second", demand.prefillTokensPerSecond);
     this->metrics.setGauge("engine_tokens_per_second", demand.engineTokensPerSecond);
+    if (this->roomsSource)
+        planner.setShortages(shortagesOf(this->roomsSource(service.name, now)));
     for (const auto& target : planner.plan(demand, slots, servers, now))
         this->order(service, target, present[{ target.zone, target.isReclaimable }], now);
 }
--- a/src/gateway/fleetcontroller.h
+++ b/src/gateway/fleetcontroller.h
@@ -8,12 +8,15 @@
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "serverlimitcontroller.h"
+#include "serverload.h"
 #include "statesource.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace Primrosefork {
 
@@ -32,8 +35,14 @@
     FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, const ServerLimitController&, LeadershipController&, Metrics&, const EventLog&);
     ~FleetController() override;
 
+    /** Returns the rooms of a service in all zones; empty when they are not known. */
+    using RoomsSource = std::function<std::vector<ZoneRoom>(const std::string& service, EventLoop::TimePoint now)>;
+
     auto begin() -> void;
 
+    /** Sets where the rooms are read that decide in which of equally priced zones engines are ordered. */
+    auto setRoomsSource(RoomsSource source) -> void { this->roomsSource = std::move(source); }
+
     [[nodiscard]] auto stateName() const -> std::string override { return "fleet"; }
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
@@ -65,6 +74,7 @@
     LeadershipController& leadership;
     Metrics& metrics;
     const EventLog& log;
+    RoomsSource roomsSource;
     Timer timer;
     std::uint64_t fence = 0; ///< Fence of the leadership that the state below belongs to.
     EventLoop::TimePoint lastTick; ///< Time of the last check while this node led.
--- a/src/gateway/overflowcontroller.cpp
+++ b/src/gateway/overflowcontroller.cpp
@@ -33,6 +33,11 @@
     return std::to_string(static_cast<std::int64_t>(part * whole));
 }
 
+auto gaugeOf(const OverflowShare& share) -> std::string
+{
+    return "overflow_eighths{service=\"" + share.service + "\",from=\"" + share.fromZone + "\"}";
+}
+
 auto sharesJson(const std::vector<OverflowShare>& shares) -> nlohmann::json
 {
     auto list = nlohmann::json::array();
@@ -80,13 +85,19 @@
     this->policy.clear();
 }
 
+auto OverflowController::endCoordinating() -> void
+{
+    for (const auto& share : this->policy.shares())
+        this->metrics.setGauge(gaugeOf(share), 0);
+    this->policy.clear();
+    this->term = 0;
+}
+
 auto OverflowController::tick() -> void
 {
     const auto& table = this->board.traffic.value().table;
-    if (!this->isCoordinating() || !table) {
-        this->term = 0;
-        return;
-    }
+    if (!this->isCoordinating() || !table)
+        return this->endCoordinating();
     const auto now = EventLoop::now();
     if (this->term == 0 || this->term != this->board.leadership.value().term)
         this->beginCoordinating(now);
@@ -112,13 +123,15 @@
         for (const auto& share : *node.report.overflow)
             this->policy.adopt(share, now);
     }
+    for (const auto& share : this->policy.shares())
+        this->metrics.setGauge(gaugeOf(share), share.eighths);
 }
 
 auto OverflowController::stepMade(const OverflowStep& step) -> void
 {
     const auto& share = step.share;
     this->metrics.count("overflow_steps_total");
-    this->metrics.setGauge("overflow_eighths{service=\"" + share.service + "\",from=\"" + share.fromZone + "\"}", share.eighths);
+    this->metrics.setGauge(gaugeOf(share), share.eighths);
     this->log.write(Event::OverflowChanged,
         { { "service", share.service }, { "from", share.fromZone }, { "to", share.toZone }, { "eighths", std::to_string(share.eighths) }, { "earlier", std::to_string(step.earlierEighths) },
             { "wait_ms", milliText(step.waitHere) }, { "target_wait_ms", milliText(step.waitThere) }, { "cost_ms", milliText(step.cost) },
--- a/src/gateway/overflowcontroller.h
+++ b/src/gateway/overflowcontroller.h
@@ -52,6 +52,7 @@
 
 private:
     auto tick() -> void;
+    auto endCoordinating() -> void;
     auto beginCoordinating(EventLoop::TimePoint now) -> void;
     auto addToAnswer(const std::string& zone, FleetAnswer&) -> void;
     auto applyAnswer(const FleetAnswer&) -> void;
--- a/src/traffic/fleetplanner.cpp
+++ b/src/traffic/fleetplanner.cpp
@@ -83,9 +83,11 @@
     std::vector<std::string> zones;
     for (const auto& [zone, price] : this->settings.zonePrices)
         zones.push_back(zone);
-    std::stable_sort(zones.begin(), zones.end(), [this](const auto& first, const auto& second) {
-        return this->settings.zonePrices.at(first) < this->settings.zonePrices.at(second);
-    });
+    const auto rank = [this](const std::string& zone) {
+        const auto shortage = this->zoneShortages.find(zone);
+        return std::pair(this->settings.zonePrices.at(zone), shortage == this->zoneShortages.end() ? 0 : -shortage->second);
+    };
+    std::stable_sort(zones.begin(), zones.end(), [&rank](const auto& first, const auto& second) { return rank(first) < rank(second); });
     return zones;
 }
 
--- a/src/traffic/fleetplanner.h
+++ b/src/traffic/fleetplanner.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Primrosefork {
@@ -54,6 +55,9 @@
     /** Sets the number of engines that the previous leader found to be \a needed; it is kept until the prefill rate is known. */
     auto restoreNeeded(std::int64_t needed, TimePoint now) -> void;
 
+    /** Sets by zone how many requests of the service exceed the slots there, as a part of these; among zones with the same price on-demand engines are added where it is largest. */
+    auto setShortages(std::map<std::string, double> shortages) -> void { this->zoneShortages = std::move(shortages); }
+
     /** Returns the engines that the service should have, given its present \a servers, each of which runs \a slots requests at once. */
     auto plan(const ServiceDemand&, std::int64_t slots, const std::vector<const BackendServer*>& servers, TimePoint now) -> std::vector<FleetTarget>;
 
@@ -82,10 +86,12 @@
     /** Changes the on-demand targets as little as possible, so that their total lies between \a minimum and \a maximum within the limits of each zone. */
     auto placeOnDemand(std::int64_t minimum, std::int64_t maximum, TimePoint now) -> void;
 
+    /** Returns the zones in the order in which on-demand engines are added. */
     [[nodiscard]] auto zonesByPrice() const -> std::vector<std::string>;
 
     ScalingSettings settings;
     std::map<std::string, Zone> zones;
+    std::map<std::string, double> zoneShortages; ///< Empty while they are not known.
     std::int64_t stableNeed = 0; ///< Number of needed engines; a lower need takes effect only after a delay.
     TimePoint stableUntil; ///< Time until which that number is not lowered.
 };
--- a/tests/traffic/test_fleetplanner.cpp
+++ b/tests/traffic/test_fleetplanner.cpp
@@ -202,4 +202,39 @@
     CHECK(total(targets, true) >= 9);
 }
 
+struct ShortageCase {
+    const char* name;
+    std::map<std::string, double> prices;
+    std::map<std::string, double> shortages;
+    const char* expected; ///< Zone that gets the on-demand engines.
+};
+
+const ShortageCase shortageCases[] = {
+    { "not known", { { "a", 1 }, { "b", 1 }, { "c", 1 } }, {}, "a" },
+    { "the same price", { { "a", 1 }, { "b", 1 }, { "c", 1 } }, { { "a", 0 }, { "b", 0.2 }, { "c", 0.7 } }, "c" },
+    { "no zone lacks room", { { "a", 1 }, { "b", 1 }, { "c", 1 } }, { { "a", 0 }, { "b", 0 }, { "c", 0 } }, "a" },
+    { "a lower price", { { "a", 1 }, { "b", 1 }, { "c", 1.1 } }, { { "a", 0 }, { "b", 0.2 }, { "c", 0.7 } }, "b" },
+};
+
+// Guards against engines that are ordered where there is room while requests of another zone have to leave it.
+TEST_CASE("among zones with the same price on-demand engines are ordered where room is lacking")
+{
+    for (const auto& row : shortageCases) {
+        CAPTURE(row.name);
+        auto settings = makeSettings();
+        settings.minEngines = 0;
+        settings.zonePrices = row.prices;
+        FleetPlanner planner(settings);
+        planner.setShortages(row.shortages);
+        for (const std::string zone : { "a", "b", "c" })
+            planner.reclaimableRefused(zone, start);
+        Engines engines;
+        // The demand needs four engines, and no reclaimable ones are to be had.
+        for (const auto& target : planner.plan({ 50'000, 30'000, 0 }, slots, engines.pointers(), start)) {
+            if (!target.isReclaimable)
+                CHECK((target.count > 0) == (target.zone == row.expected));
+        }
+    }
+}
+
 } // namespace
