Configcheck: Added a check of a configuration before it is sent

A document that decodes may still have entries that never match and limits that contradict each other; nodes accept it in silence. primrosefork gateway check names them and lists what changes from the version in force. Nodes show only the version of their configuration, so an address compares that alone.

The program gets the platform's decoder through makeTrafficDocuments(), which platform/ defines, since no source but main.cpp of the node includes platform/.

--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -27,6 +27,7 @@
     std::string templateName; ///< Template from which a service is created.
     std::string templateFile; ///< Template file against which parameters are checked.
     std::string service; ///< The only service in which a drain is begun or ended; empty for all.
+    std::string against; ///< File with the configuration in force, or operators' address of a gateway node that runs it.
     std::chrono::milliseconds timeout { 20'000 }; ///< Limit for each phase of a call: connect, first byte and idle.
 };
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "backendcommands.h"
 #include "checkcommand.h"
+#include "gatewaycheckcommand.h"
 #include "gatewaycommands.h"
 #include "nodecommands.h"
 #include "recordcommands.h"
@@ -33,6 +34,7 @@
   primrosefork backend drain engine-7
   primrosefork node status --json
   primrosefork gateway settings 10.1.0.11:7701 10.1.0.12:7701
+  primrosefork gateway check next.json --against current.json
   primrosefork check parameters parameters.json --template_file template.json
 
 Exit codes: 0 ok, 1 failed and not accepted, 2 wrong usage, 3 findings, 4
@@ -67,6 +69,7 @@
     commands.push_back({ "backend", "undrain", "ID [--service S]", "end the drain of a backend server", false, std::make_unique<DrainCommand>(false) });
     commands.push_back({ "node", "status", "", "show the nodes and the configuration that each has in force", false, std::make_unique<NodeStatusCommand>() });
     commands.push_back({ "gateway", "settings", "ADDRESS…", "show which settings and which configuration gateway nodes run", true, std::make_unique<GatewaySettingsCommand>() });
+    commands.push_back({ "gateway", "check", "FILE [--against FILE|ADDRESS]", "check a configuration of the gateway, and compare it with the one in force", true, std::make_unique<GatewayCheckCommand>() });
     commands.push_back({ "state", "", "", "print the state dump of the node", false, std::make_unique<StateCommand>() });
     for (const auto* kind : { "settings", "template", "parameters", "workspace" }) {
         const auto* arguments = std::string(kind) == "parameters" ? "FILE --template_file T" : "FILE";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(file, "", "The file with the content; - is standard input.");
 DEFINE_string(template, "", "The template from which a service is created.");
 DEFINE_string(template_file, "", "The template file against which parameters are checked.");
+DEFINE_string(against, "", "The file with the configuration in force, or the operators' address of a gateway node.");
 DEFINE_string(service, "", "The only service in which a backend server is drained.");
 DEFINE_string(timeout, "20s", "Time-out of each call to the node.");
 DECLARE_bool(help);
@@ -99,6 +100,7 @@
     line.templateName = FLAGS_template;
     line.templateFile = FLAGS_template_file;
     line.service = FLAGS_service;
+    line.against = FLAGS_against;
     return line;
 }
 
--- a/src/systems/trafficdocuments.h
+++ b/src/systems/trafficdocuments.h
@@ -4,6 +4,7 @@
 #include "finding.h"
 #include "trafficconfiguration.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -31,4 +32,7 @@
         -> std::optional<BackendServer> = 0;
 };
 
+/** Returns the decoder of the platform's documents that the program is linked with. */
+[[nodiscard]] auto makeTrafficDocuments() -> std::unique_ptr<TrafficDocuments>;
+
 } // namespace Primrosefork
