--- a/src/configcheck/configurationdifference.cpp
+++ b/src/configcheck/configurationdifference.cpp
@@ -88,9 +88,12 @@
     Entries entries;
     const auto add = [&entries](const std::string& kind, const std::string& name, Fields fields) {
         // Entries with one name are told apart by their order.
-        auto place = kind + " " + name;
-        for (int number = 2; entries.contains(place); ++number)
-            place = kind + " " + name + " (" + std::to_string(number) + ")";
+        const auto usual = kind + " " + name;
+        auto place = usual;
+        for (int number = 2; entries.contains(place); ++number) {
+            place = usual;
+            place.append(" (").append(std::to_string(number)).append(")");
+        }
         entries.emplace(place, std::move(fields));
     };
     for (const auto& route : configuration.routes)
@@ -106,8 +109,10 @@
 auto joined(const Fields& fields) -> std::string
 {
     std::string text;
-    for (const auto& [field, value] : fields)
-        text += value.empty() ? "" : (text.empty() ? "" : "; ") + field + " " + value;
+    for (const auto& [field, value] : fields) {
+        if (!value.empty())
+            text.append(text.empty() ? "" : "; ").append(field).append(" ").append(value);
+    }
     return text;
 }
 
--- a/tests/gateway/test_overflow.cpp
+++ b/tests/gateway/test_overflow.cpp
@@ -55,10 +55,11 @@
 
     auto state() -> nlohmann::json
     {
-        RawCaller caller(this->loop, this->settings.operators);
-        caller.send("GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        this->runUntil([&caller] { return caller.isClosed; }, 2s);
-        return nlohmann::json::parse(caller.received.substr(std::min(caller.received.size(), caller.received.find("\r\n\r\n"))), nullptr, false)["overflow"];
+        nlohmann::json result;
+        this->client.fetch(this->settings.operators, { "GET", "/state", "", {}, "" }, {},
+            [&result](std::error_code, const HttpResponse& response) { result = nlohmann::json::parse(response.body, nullptr, false); });
+        REQUIRE(this->runUntil([&result] { return !result.is_null(); }));
+        return result["overflow"];
     }
 
     ScriptedServer near;
