--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -389,6 +389,7 @@
     answer.otherShare = minEqualPart / static_cast<double>(nodes);
     answer.streamEngines = this->streamEngines;
     answer.observers = this->observers.value().addresses;
+    this->answering.emit(node->second.report, answer);
     return answer;
 }
 
@@ -468,6 +469,7 @@
         this->limits.applyAnswer(answer, sentAt);
         this->loads.applyAnswer(answer, now - sentAt);
     }
+    this->answered.emit(answer);
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     current.otherQuotaShare = answer.otherShare;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -1,6 +1,7 @@
 #include "fleetmessage.h"
 
 #include "loadmessage.h"
+#include "overflowencoding.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -220,6 +221,7 @@
     serializeAs<std::uint32_t>(archive, value.waitingRequests);
     serializeAs<std::uint32_t>(archive, value.openStreams);
     serializeAmount(archive, value.requestsPerSecond);
+    serializeAmount(archive, value.promptTokensPerSecond);
 }
 
 template <typename Archive>
@@ -297,6 +299,18 @@
     archive(value.server, value.count);
 }
 
+/** Serialises \a value as one text, which is empty when it is not set. */
+template <typename Archive>
+static auto serializeOverflow(Archive& archive, std::optional<std::vector<OverflowShare>>& value) -> void
+{
+    auto bytes = value ? encodeOverflow(*value) : std::string();
+    serializeText(archive, bytes);
+    const auto isSet = !bytes.empty();
+    value = isSet ? decodeOverflow(bytes) : std::nullopt;
+    if (isSet && !value)
+        throw cereal::Exception("not overflow shares");
+}
+
 template <typename Archive>
 static auto serialize(Archive& archive, NodeReport& value) -> void
 {
@@ -311,6 +325,7 @@
     serializeList(archive, value.prompts);
     serializeList(archive, value.limits);
     archive(value.limitsDigest);
+    serializeOverflow(archive, value.overflow);
 }
 
 template <typename Archive>
@@ -344,6 +359,7 @@
     serializeFlag(archive, value.hasLimits);
     serializeFlag(archive, value.hasAllLimits);
     serializeList(archive, value.limits);
+    serializeOverflow(archive, value.overflow);
 }
 
 template <typename Archive>
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -352,12 +352,16 @@
 
 auto ForwardController::chooseServer(const ForwardRequest& request, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> const BackendServer*
 {
-    auto candidates = this->suitableServers(request, excluded, now);
-    std::erase_if(candidates, [this, &request](const auto* server) { return !this->hasFreeConnection(*server, *request.service); });
-    this->admissions.restrict(request, candidates, now);
     auto routing = request.routingRequest();
     routing.zone = this->settings.zone;
+    if (this->zoneSelector)
+        this->zoneSelector->selectZone(request.service->name, routing, now);
+    auto candidates = this->suitableServers(request, excluded, now, routing.overflowZone);
+    std::erase_if(candidates, [this, &request](const auto* server) { return !this->hasFreeConnection(*server, *request.service); });
+    this->admissions.restrict(request, candidates, now);
     const auto* server = this->policy.choose(routing, candidates, now);
+    if (server && this->zoneSelector)
+        this->zoneSelector->serverChosen(routing, *server);
     if (server)
         this->readTokens[request.service->name] += this->policy.expectedPrefillTokens(routing, *server, now);
     return server;
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -18,6 +18,7 @@
 #include "sharedloadcontroller.h"
 #include "statesource.h"
 #include "wallclock.h"
+#include "zoneselector.h"
 
 #include <map>
 #include <memory>
@@ -49,6 +50,8 @@
     /** Returns the part that decides which requests wait for room. */
     [[nodiscard]] auto admission() -> AdmissionController& { return this->admissions; }
     [[nodiscard]] auto admission() const -> const AdmissionController& { return this->admissions; }
+    /** Sets what decides which requests leave the zone; without it none do by decision of the leader. */
+    auto setZoneSelector(ZoneSelector& selector) -> void { this->zoneSelector = &selector; }
 
     [[nodiscard]] auto openCount() const -> std::size_t { return this->runs.size(); }
 
@@ -94,7 +97,7 @@
     auto attemptEnded(const ForwardRequest& request, const BackendServer&, AttemptEnd end, EventLoop::TimePoint now) -> void override { this->admissions.attemptEnded(request, end, now); }
     auto serverFull(const BackendServer& server, EventLoop::TimePoint now) -> void override { this->admissions.serverFull(server, now); }
     /** Returns the servers that may get the request as far as it is known, none of \a excluded. */
-    auto suitableServers(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> std::vector<const BackendServer*>;
+    auto suitableServers(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now, std::string_view overflowZone = {}) -> std::vector<const BackendServer*>;
     auto pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> override;
     [[nodiscard]] auto mayResumeCopy(const BackendServer&, EventLoop::TimePoint now) const -> bool override;
     auto logLeftOut(const std::string& id, UnavailableReason, std::optional<std::chrono::milliseconds> duration) -> void;
@@ -117,6 +120,7 @@
     CacheAwarePolicy policy;
     AdmissionController admissions;
     UsageLedger usage;
+    ZoneSelector* zoneSelector = nullptr;
     ForwardContext context;
     std::map<std::string, AttemptBudget> budgets;
     std::map<std::string, ServerIndex> serversByService; ///< Live servers, which may get new requests, by service.
--- a/src/gateway/forwardroom.cpp
+++ b/src/gateway/forwardroom.cpp
@@ -24,13 +24,13 @@
         EventLoop::now());
 }
 
-auto ForwardController::suitableServers(const ForwardRequest& request, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> std::vector<const BackendServer*>
+auto ForwardController::suitableServers(const ForwardRequest& request, const std::set<std::string>& excluded, EventLoop::TimePoint now, std::string_view overflowZone) -> std::vector<const BackendServer*>
 {
     const auto found = this->serversByService.find(request.service->name);
     if (found == this->serversByService.end())
         return {};
     const auto routing = request.routingRequest();
-    auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random);
+    auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random, overflowZone);
     std::erase_if(candidates, [this, &excluded, now](const auto* server) {
         return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->limits.takesRequest(*server);
     });
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -15,6 +15,7 @@
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
 #include "metrics.h"
+#include "overflowcontroller.h"
 #include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "registrycontroller.h"
@@ -97,6 +98,7 @@
     LeadershipController leadership;
     RelayController relay;
     CoordinationController coordination;
+    OverflowController overflow;
     UsageController usageReports;
     FleetController fleet;
     CallerListener callers;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -3,12 +3,14 @@
 #include "address.h"
 #include "finding.h"
 #include "intakesettings.h"
+#include "overflowpolicy.h"
 #include "units.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +61,7 @@
     bool sharesLoad = false; ///< Whether nodes share the load that they put on backend servers.
     AdmissionSettings admission;
     IntakeSettings intake;
+    std::optional<ZoneCosts> zones; ///< Costs of other zones; requests leave their zone by the leader's decision only when this is set.
     std::string logLevel = "info";
 };
 
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -70,6 +70,7 @@
     EventDescription { Event::SharedLoadOpened, Severity::Info, "sharedLoadOpened" },
     EventDescription { Event::SharedLoadReceived, Severity::Info, "sharedLoadReceived" },
     EventDescription { Event::SharedLoadExpired, Severity::Warning, "sharedLoadExpired" },
+    EventDescription { Event::OverflowChanged, Severity::Info, "overflowChanged" },
     EventDescription { Event::PeerJoined, Severity::Info, "peerJoined" },
     EventDescription { Event::PeerSuspected, Severity::Info, "peerSuspected" },
     EventDescription { Event::PeerDied, Severity::Warning, "peerDied" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -80,6 +80,7 @@
     SharedLoadOpened = 6401,
     SharedLoadReceived = 6402,
     SharedLoadExpired = 6403,
+    OverflowChanged = 6501,
     PeerJoined = 7001,
     PeerSuspected = 7002,
     PeerDied = 7003,
