Rollout: Moves services to other versions as operators order it

Cause: orders of roll-outs were not read, so that servers of a new version got requests like all others as soon as they registered.

Change: src/rollout decides without a network on steps, shares and the comparison of versions; RolloutController on the leader follows the orders, records each step before it takes effect and publishes the state; RolloutRouting on each node holds the share and counts the answers. Without /bounds/exposure_share nothing is read and all versions are used as before.

Measured: tests rolloutplan, versioncomparison, rolloutgate, rolloutledger and rollouts pass.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -68,7 +68,7 @@
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, RelayController& relay, StoreEpochMonitor& epochs, Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, RolloutController& rollouts, RelayController& relay, StoreEpochMonitor& epochs, Metrics& metrics, const EventLog& log, ReportSource reportSource)
     : loop(loop)
     , store(store)
     , settings(settings)
@@ -76,6 +76,7 @@
     , quotas(quotas)
     , quarantines(quarantines)
     , limits(limits)
+    , rollouts(rollouts)
     , relay(relay)
     , epochs(epochs)
     , metrics(metrics)
@@ -338,6 +339,7 @@
     node.receivedAt = EventLoop::now();
     this->quarantines.reportReceived(message.sender, node.report.prompts, node.receivedAt);
     this->limits.reportReceived(message.sender, node.report);
+    this->rollouts.reportReceived(message.sender, message.session, node.report);
     for (const auto& entry : node.report.windows)
         node.windows[entry.window] = entry.counts;
     while (node.windows.size() > keptWindows)
@@ -362,6 +364,7 @@
     answer.reportSequence = reportSequence;
     this->quarantines.addToAnswer(answer, EventLoop::now());
     this->limits.addToAnswer(answer, nodeId);
+    this->rollouts.addToAnswer(answer);
     const auto node = this->nodeRecords.find(nodeId);
     const auto& traffic = this->board.traffic.value();
     const auto& registry = this->relay.watcher(RelayTopic::Registry);
@@ -458,8 +461,11 @@
     }
     this->quarantines.applyAnswer(answer, EventLoop::now());
     // The leader answers itself at once; an answer to an earlier report has a time that is no longer known.
-    if (answer.reportSequence == 0 || report != this->reportTimes.end())
-        this->limits.applyAnswer(answer, answer.reportSequence == 0 ? BootClock::now() : report->second);
+    if (answer.reportSequence == 0 || report != this->reportTimes.end()) {
+        const auto reportSent = answer.reportSequence == 0 ? BootClock::now() : report->second;
+        this->limits.applyAnswer(answer, reportSent);
+        this->rollouts.applyAnswer(answer, reportSent);
+    }
     FleetShare current;
     current.nodes = std::max<std::size_t>(1, answer.nodes);
     current.otherQuotaShare = answer.otherShare;
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -9,6 +9,7 @@
 #include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "relaycontroller.h"
+#include "rolloutcontroller.h"
 #include "serverlimitcontroller.h"
 #include "statesource.h"
 #include "storeepochmonitor.h"
@@ -53,7 +54,7 @@
 public:
     using ReportSource = std::function<NodeReport()>;
 
-    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, RelayController&, StoreEpochMonitor&, Metrics&, const EventLog&, ReportSource);
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, RolloutController&, RelayController&, StoreEpochMonitor&, Metrics&, const EventLog&, ReportSource);
     ~CoordinationController() override;
 
     auto begin() -> std::error_code;
@@ -103,6 +104,7 @@
     QuotaController& quotas;
     QuarantineController& quarantines;
     ServerLimitController& limits;
+    RolloutController& rollouts;
     RelayController& relay;
     StoreEpochMonitor& epochs;
     Metrics& metrics;
--- a/src/gateway/fleetcontroller.cpp
+++ b/src/gateway/fleetcontroller.cpp
@@ -25,13 +25,14 @@
 } // namespace
 
 FleetController::FleetController(EventLoop& loop, KeyValueStore& store, FleetApi& fleet, const GatewaySettings& settings, GatewayBoard& board,
-    const CoordinationController& coordination, const ServerLimitController& limits, LeadershipController& leadership, Metrics& metrics, const EventLog& log)
+    const CoordinationController& coordination, const ServerLimitController& limits, const RolloutController& rollouts, LeadershipController& leadership, Metrics& metrics, const EventLog& log)
     : store(store)
     , fleet(fleet)
     , settings(settings)
     , board(board)
     , coordination(coordination)
     , limits(limits)
+    , rollouts(rollouts)
     , leadership(leadership)
     , metrics(metrics)
     , log(log)
@@ -157,7 +158,8 @@
     std::vector<const BackendServer*> servers;
     std::map<std::pair<std::string, bool>, std::int64_t> present;
     for (const auto& [id, server] : this->board.backendServers.value()) {
-        if (server.pool != service.name)
+        // Of the servers of two versions, only those that carry the load count as engines that are there.
+        if (server.pool != service.name || !this->rollouts.carriesLoad(server))
             continue;
         servers.push_back(&server);
         if (server.state == InstanceState::Live)
@@ -189,6 +191,9 @@
     auto& last = this->orders[key];
     if (last.isInFlight)
         return;
+    // The platform starts and stops the engines of a roll-out itself; fewer would take some of them away in its middle.
+    if (this->rollouts.isReplacing(service.name) && target.count <= std::max(last.count, present))
+        return;
     const auto isOverdue = present != target.count && now - last.sent > service.scaling->bootTime + orderSettleTime;
     if (last.count == target.count && !isOverdue)
         return;
--- a/src/gateway/fleetcontroller.h
+++ b/src/gateway/fleetcontroller.h
@@ -7,6 +7,7 @@
 #include "gatewaysettings.h"
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
+#include "rolloutcontroller.h"
 #include "serverlimitcontroller.h"
 #include "statesource.h"
 
@@ -29,7 +30,7 @@
  */
 class FleetController : public StateSource {
 public:
-    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, const ServerLimitController&, LeadershipController&, Metrics&, const EventLog&);
+    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, const ServerLimitController&, const RolloutController&, LeadershipController&, Metrics&, const EventLog&);
     ~FleetController() override;
 
     auto begin() -> void;
@@ -62,6 +63,7 @@
     GatewayBoard& board;
     const CoordinationController& coordination;
     const ServerLimitController& limits;
+    const RolloutController& rollouts;
     LeadershipController& leadership;
     Metrics& metrics;
     const EventLog& log;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -1,5 +1,7 @@
 #include "fleetmessage.h"
 
+#include "rolloutmessage.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
@@ -308,6 +310,7 @@
     serializeList(archive, value.prompts);
     serializeList(archive, value.limits);
     archive(value.limitsDigest);
+    serializeList(archive, value.rollouts);
 }
 
 template <typename Archive>
@@ -341,6 +344,8 @@
     serializeFlag(archive, value.hasLimits);
     serializeFlag(archive, value.hasAllLimits);
     serializeList(archive, value.limits);
+    serializeFlag(archive, value.hasAllRollouts);
+    serializeList(archive, value.rollouts);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -4,6 +4,7 @@
 #include "keyvaluestore.h"
 #include "promptevidence.h"
 #include "quotaledger.h"
+#include "rolloutreport.h"
 #include "serverlimits.h"
 #include "usageledger.h"
 
@@ -54,6 +55,7 @@
     std::vector<PromptEvidence> prompts; ///< Evidence of prompts that crash servers, by service.
     std::vector<LimitStatement> limits; ///< Limits that servers named or withdrew lately; all that are known for a new leader.
     std::uint64_t limitsDigest = 0; ///< Digest of all limits that the node knows.
+    std::vector<RolloutReport> rollouts; ///< Roll-outs that the node knows of.
 };
 
 /** The share of a workspace's quota that one node may grant without the leader. */
@@ -86,6 +88,8 @@
     bool hasLimits = false; ///< Whether the limits that the leader knows are listed, since the node knows others.
     bool hasAllLimits = false; ///< Whether the leader knows all limits; a new leader may not know them yet.
     std::vector<LimitStatement> limits;
+    bool hasAllRollouts = false; ///< Whether all roll-outs are named; a new leader may not know them yet, and without bounds on the exposure there are none.
+    std::vector<RolloutShare> rollouts;
     bool hasAllQuarantines = false; ///< Whether all parts under quarantine are named; a new leader may not know them yet.
 };
 
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -64,8 +64,9 @@
     , log(log)
     , pool(loop, dialect, connectTimeout)
     , policy(hash64(settings.id))
+    , rollouts(this->policy, settings, board, metrics, log)
     , usage(settings.bounds.usageWindow)
-    , context { loop, this->pool, dialect, *this, mover, this->policy, prompts, buffers, metrics, log,
+    , context { loop, this->pool, dialect, *this, mover, this->rollouts, prompts, buffers, metrics, log,
         [this](const std::string& workspace, std::chrono::milliseconds ago) {
             this->usage.requestBegan(workspace, this->clock.at(EventLoop::now()) - ago);
         } }
@@ -138,6 +139,7 @@
     if (!request.service)
         return Refusal { HttpStatus::unavailable, "no_service", notReadyRetryDelay };
     ++this->receivedRequests[request.service->name];
+    this->rollouts.requestReceived(request.service->name);
     if (const auto wait = this->pauseLeft(request.service->name, EventLoop::now()))
         return Refusal { HttpStatus::unavailable, "servers_paused", wait };
     if (const auto left = this->prompts.quarantineLeft(request.service->name, request.fields.promptParts, EventLoop::now()))
@@ -228,6 +230,7 @@
     if (const auto time = found->second->answerTime())
         this->answerTimes.answered(request.route->name, answerSize(request), *time);
     this->runs.erase(found);
+    this->rollouts.requestEnded(id);
     this->advanceWaiting();
 }
 
@@ -268,6 +271,7 @@
         return true;
     });
     this->availability.retain(servers, EventLoop::now());
+    this->rollouts.serversChanged(servers, EventLoop::now());
     this->assignStreamEngines();
     this->advanceWaiting();
     this->moveRuns(servers);
@@ -339,14 +343,18 @@
         return nullptr;
     auto routing = request.routingRequest();
     routing.zone = this->settings.zone;
-    auto candidates = found->second.candidates(homePrefixOf(routing), isLongStream(routing), this->random);
-    std::erase_if(candidates, [this, &request, &excluded, now](const auto* server) {
-        return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->limits.takesRequest(*server) || !this->hasFreeConnection(*server, *request.service);
-    });
-    const auto* server = this->policy.choose(routing, candidates, now);
-    if (server)
+    for (const auto* index : this->rollouts.indexesFor(request, found->second, !excluded.empty(), now)) {
+        auto candidates = index->candidates(homePrefixOf(routing), isLongStream(routing), this->random);
+        std::erase_if(candidates, [this, &request, &excluded, now](const auto* server) {
+            return excluded.contains(server->id) || !this->availability.isAvailable(*server, now) || !this->limits.takesRequest(*server) || !this->hasFreeConnection(*server, *request.service);
+        });
+        const auto* server = this->policy.choose(routing, candidates, now);
+        if (!server)
+            continue;
         this->readTokens[request.service->name] += this->policy.expectedPrefillTokens(routing, *server, now);
-    return server;
+        return server;
+    }
+    return nullptr;
 }
 
 auto ForwardController::tryAcquireAttempt(const std::string& service, EventLoop::TimePoint now) -> bool
@@ -428,6 +436,7 @@
     for (const auto& [window, counts] : this->usage.windows())
         report.windows.push_back({ window, counts });
     this->limits.addToReport(report);
+    this->rollouts.addToReport(report, now);
     auto services = this->takeDemand(seconds);
     for (auto& [service, tokens] : this->readTokens) {
         auto& rate = this->readTokensPerSecond[service];
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -10,6 +10,7 @@
 #include "gatewaysettings.h"
 #include "promptmonitor.h"
 #include "quotacontroller.h"
+#include "rolloutrouting.h"
 #include "runmover.h"
 #include "serveravailability.h"
 #include "serverindex.h"
@@ -44,6 +45,9 @@
     /** Returns this node's report to the leader; rates cover the time since the last call. */
     auto makeReport() -> NodeReport;
 
+    /** Returns how this node holds roll-outs, for the state dump. */
+    [[nodiscard]] auto rolloutState() const -> const StateSource& { return this->rollouts; }
+
     [[nodiscard]] auto openCount() const -> std::size_t { return this->runs.size(); }
 
     /** Returns whether the configuration was confirmed so recently that a revoked credential would be known by now; only then are requests with a credential served. */
@@ -99,6 +103,7 @@
     const EventLog& log;
     BackendPool pool;
     CacheAwarePolicy policy;
+    RolloutRouting rollouts;
     UsageLedger usage;
     ForwardContext context;
     std::map<std::string, AttemptBudget> budgets;
--- a/src/gateway/gatewayboard.h
+++ b/src/gateway/gatewayboard.h
@@ -3,6 +3,7 @@
 #include "backendserver.h"
 #include "bootclock.h"
 #include "lifecycle.h"
+#include "rolloutreport.h"
 #include "routetable.h"
 #include "section.h"
 
@@ -57,6 +58,13 @@
     bool isListed = false; ///< Whether this node is one of them.
 };
 
+/** The leader's last word on the roll-outs. */
+struct RolloutsInForce {
+    std::vector<RolloutShare> shares;
+    bool isComplete = false; ///< Whether these are all roll-outs, rather than what a leader knows that has just begun.
+    std::chrono::steady_clock::time_point reportSent; ///< Time at which the report was sent that the leader answered.
+};
+
 /**
  * The state that the controllers of a gateway node share.
  */
@@ -67,6 +75,7 @@
     Section<BackendServers> backendServers { "backendServers" };
     Section<Leadership> leadership { "leadership" };
     Section<FleetShare> fleetShare { "fleetShare" };
+    Section<RolloutsInForce> rollouts { "rollouts" };
     Section<Observers> observers { "observers" };
 
     /** Returns whether this node has to watch the store itself: the observers, the leader, and every node until observers have been chosen. */
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -34,14 +34,15 @@
     , quotas(loop, this->settings, this->shared, this->metrics, this->log)
     , quarantines(*this->systems.store, this->metrics, this->log)
     , limits(this->settings.id, this->shared, this->metrics, this->log)
+    , rollouts(loop, *this->systems.store, *this->systems.documents, this->settings, this->shared, this->metrics, this->log)
     , forwarding(loop, *this->systems.dialect, *this->systems.mover, this->settings, this->shared, this->quotas, this->limits, this->quarantines, this->buffers, this->clock, this->metrics, this->log)
     , traffic(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->epochs, this->metrics, this->log)
     , registry(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->log)
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
     , relay(loop, this->settings, this->shared, { &this->traffic.storeWatcher(), &this->registry.storeWatcher(), &this->leadership.storeWatcher() }, this->metrics, this->log)
-    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->relay, this->epochs, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
+    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->rollouts, this->relay, this->epochs, this->metrics, this->log, [this] { return this->forwarding.makeReport(); })
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
-    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->leadership, this->metrics, this->log)
+    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->rollouts, this->leadership, this->metrics, this->log)
     , callers(loop, this->buffers, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); })
     , lifecycle(loop, this->settings, this->shared, this->callers, this->log, [this] { return this->forwarding.isConfigurationFresh(); })
     , readinessServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -95,6 +96,7 @@
     this->traffic.begin();
     this->registry.begin();
     this->relay.begin();
+    this->rollouts.begin();
     if (this->settings.fleetApi.port != 0) {
         this->usageReports.begin();
         this->fleet.begin();
@@ -135,7 +137,7 @@
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->usageReports, &this->fleet, &this->forwarding })
+             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->rollouts, &this->forwarding.rolloutState(), &this->usageReports, &this->fleet, &this->forwarding })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -18,6 +18,7 @@
 #include "quotacontroller.h"
 #include "registrycontroller.h"
 #include "relaycontroller.h"
+#include "rolloutcontroller.h"
 #include "runmover.h"
 #include "serverlimitcontroller.h"
 #include "settingsmonitor.h"
@@ -87,6 +88,7 @@
     QuotaController quotas;
     QuarantineController quarantines;
     ServerLimitController limits;
+    RolloutController rollouts;
     ForwardController forwarding;
     TrafficController traffic;
     RegistryController registry;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -59,6 +59,10 @@
     reader.duration("quota_window", bounds.quotaWindow, 100ms, 1h);
     reader.number("quota_excess", bounds.quotaExcess, 0, 1);
     reader.number("quota_slack", bounds.quotaSlack, 0, 1'000'000'000);
+    if (reader.has("exposure_share"))
+        reader.number("exposure_share", bounds.exposureShare.emplace(0), 0, 1);
+    reader.number("exposure_slack", bounds.exposureSlack, 0, 1'000'000);
+    reader.duration("rollback", bounds.rollback, 1s, 10min);
     reader.duration("heartbeat", bounds.heartbeat, 100ms, 10min, Rounding::Up);
 }
 
@@ -113,7 +117,7 @@
 auto sharedSettings(const GatewaySettings& settings) -> nlohmann::json
 {
     const auto& bounds = settings.bounds;
-    return {
+    nlohmann::json shared {
         { "bounds",
             {
                 { "drain", bounds.drain.count() },
@@ -133,6 +137,13 @@
             } },
         { "log_level", settings.logLevel },
     };
+    // Left out while roll-outs are disabled, so that the digest of earlier settings files stays the same.
+    if (bounds.exposureShare) {
+        shared["bounds"]["exposure_share"] = *bounds.exposureShare;
+        shared["bounds"]["exposure_slack"] = bounds.exposureSlack;
+        shared["bounds"]["rollback"] = bounds.rollback.count();
+    }
+    return shared;
 }
 
 auto settingsDigest(const GatewaySettings& settings) -> std::uint64_t
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,9 @@
     std::chrono::milliseconds quotaWindow { 8'000 }; ///< Length of the window over which quotas are enforced.
     double quotaExcess = 0.1; ///< Fraction by which a workspace may exceed its quota in a window.
     double quotaSlack = 0; ///< Tokens allowed beyond that in one window, over all nodes.
+    std::optional<double> exposureShare; ///< Part of a service's requests that a bad version may get before it is rolled back; without it, roll-outs are disabled.
+    double exposureSlack = 0; ///< Requests that it may get beyond that.
+    std::chrono::milliseconds rollback { 5'000 }; ///< Time after which a version that has shown to be bad must get no more requests.
     std::chrono::milliseconds heartbeat { 1'200 }; ///< Period at which servers renew their registration; after three without one it is removed.
 };
 
