Rollout: Added tests of orders, messages and settings

Rows and cases for the decoding of orders, the encoding of states, the parts of messages, the fuzzers and the bounds. The names of the wire format are among those that only platform/ may contain.

--- a/tests/fuzz/fleetsamples.h
+++ b/tests/fuzz/fleetsamples.h
@@ -22,7 +22,10 @@
     report.limits = { { 7, 2.5F, 300ms } };
     report.limitsDigest = 9;
     report.prompts = { { "llm", { 7, 0 }, { 1, 2 }, { { 5, 250ms, 3 } }, { { 1ULL << 63U, 2, { { 17, 90ms } } } }, { { 5, 1s }, { 6, std::nullopt } }, { { 9, 10min } } } };
+    report.rollouts = { { "app", "v2", 1ULL << 45U, 7, RolloutPhase::Raising, 0.25, 42s, 9'000, 300, 12, 900ms, 3, { { 1, RolloutAspect::Pace, { 4'000, 2, { 1, 0, 7 } }, { 130, 129, { 128 } } } } } };
     auto& answer = messages[1].answer.emplace();
+    answer.hasAllRollouts = true;
+    answer.rollouts = { { "app", "v2", 1ULL << 45U, 7, RolloutPhase::Raising, 0.25, 42s, 3s } };
     answer.shares = { { "salon", 0.25 } };
     answer.otherShare = 0.5;
     answer.streamEngines = { { "llm", 7 } };
--- a/tests/fuzz/test_documentfuzz.cpp
+++ b/tests/fuzz/test_documentfuzz.cpp
@@ -129,6 +129,29 @@
     }
 }
 
+TEST_CASE("an altered order of a roll-out is refused with findings, or is in range")
+{
+    const std::vector<std::string> orders { R"({"backend":"llm","to":"v2","over-s":90.5})", R"({"backend":"llm","to":"2026-12","over-s":600})" };
+    for (const auto seed : seeds) {
+        CAPTURE(seed);
+        Mutator mutator(seed);
+        int accepted = 0;
+        for (int input = 0; input < inputsPerSeed; ++input) {
+            const auto text = mutator.mutate(orders);
+            Findings findings;
+            const auto order = PlatformDocuments().decodeRollout("op/rollout/llm", text, findings);
+            REQUIRE(order.has_value() == findings.empty());
+            if (!order)
+                continue;
+            ++accepted;
+            CAPTURE(text);
+            REQUIRE((order->service == "llm" && isPlain(order->version)));
+            REQUIRE((order->duration >= 1s && isTime(order->duration)));
+        }
+        CHECK(accepted > inputsPerSeed / 50);
+    }
+}
+
 const std::vector<std::string> settingsFiles {
     R"({"interface":"gateway","node":{"id":"n1","zone":"a","region":"r","processor_share":0.12},"listen":{"callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peers":"127.0.0.1:3","operators":"127.0.0.1:4"},"systems":{"key_value_service":"127.0.0.1:5","fleet_api":"127.0.0.1:6"},"bounds":{"drain":"3s","revocation":"5s","attempt_ratio":0.3,"quota_slack":110000},"log_level":"info"})",
     R"({"node":{"id":"n1","zone":"a","region":"west"},"listen":{"callers":"127.0.0.1:8080","operators":"127.0.0.1:8081","peers":"127.0.0.1:8082"},"platform":{"key_value_service":"127.0.0.1:9000","instance_list":"127.0.0.1:9001"},"peers":{"seeds":["127.0.0.1:8082"],"keys":[{"id":1,"secret":"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"}]},"limits":{"body_size":"1MiB"},"timeouts":{"store":"250ms"},"log_level":"info"})",
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -47,6 +47,17 @@
     return answer;
 }
 
+auto makeRollout() -> RolloutReport
+{
+    RolloutReport rollout { "app", "v2", 1ULL << 45U, 7, RolloutPhase::Raising, 0.25, 42s, 1ULL << 40U, 300, 12, 900ms, 1U << 31U, {} };
+    RouteCounts counts { 0xffffffff, RolloutAspect::Pace, { 4'000, 2, {} }, { 130, 129, {} } };
+    counts.earlier.times[0] = 1;
+    counts.earlier.times[timeBuckets - 1] = 0xffffffff;
+    counts.next.times[12] = 128;
+    rollout.routes = { counts, { 1, RolloutAspect::Answer, {}, {} } };
+    return rollout;
+}
+
 auto makeRelayReply() -> RelayReply
 {
     RelayReply reply;
@@ -189,6 +200,60 @@
     CHECK_FALSE(decodeFleetMessage(encodeFleetMessage(relayed)).has_value());
 }
 
+TEST_CASE("what nodes and leader say about roll-outs arrives as it was sent")
+{
+    FleetMessage message;
+    message.report = NodeReport {};
+    message.report->rollouts = { makeRollout() };
+    message.answer = FleetAnswer {};
+    message.answer->hasAllRollouts = true;
+    message.answer->rollouts = { { "app", "v2", 1ULL << 45U, 7, RolloutPhase::Full, 1, 42s, 3s }, { "app", "v1", 9, 4, RolloutPhase::RolledBack, 0, 0s, 0s } };
+    const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->report->rollouts == message.report->rollouts);
+    CHECK(decoded->answer->hasAllRollouts);
+    CHECK(decoded->answer->rollouts == message.answer->rollouts);
+}
+
+// Guards against numbers of another node that decisions cannot deal with.
+TEST_CASE("what is said about roll-outs is read in range, or refused")
+{
+    FleetMessage message;
+    message.answer = FleetAnswer {};
+    message.answer->rollouts = { { "app", "v2", 1, 7, RolloutPhase::Full, std::numeric_limits<double>::quiet_NaN(), -1s, std::chrono::milliseconds::max() } };
+    auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->answer->rollouts.front().share == 0);
+    CHECK(decoded->answer->rollouts.front().left == 0s);
+    CHECK(decoded->answer->rollouts.front().drainTime == 24h);
+    message.answer->rollouts.front().phase = static_cast<RolloutPhase>(8);
+    CHECK_FALSE(decodeFleetMessage(encodeFleetMessage(message)).has_value());
+}
+
+/** During a roll-out, a node reports on all routes of the service. */
+TEST_CASE("a report during a roll-out fits into one packet")
+{
+    constexpr std::size_t maxBytes = 1'200;
+    FleetMessage message;
+    message.sender = "edge-tw-north-a-117";
+    message.report = makeReport();
+    message.report->prompts.clear();
+    auto rollout = makeRollout();
+    rollout.routes.clear();
+    std::minstd_rand random(1);
+    for (std::uint32_t route = 0; route < 8; ++route) {
+        for (const auto aspect : { RolloutAspect::Answer, RolloutAspect::Start, RolloutAspect::Pace }) {
+            auto& counts = rollout.routes.emplace_back(RouteCounts { static_cast<std::uint32_t>(random()), aspect, { 900, 3, {} }, { 40, 0, {} } });
+            for (int bucket = 0; bucket < 7; ++bucket) {
+                counts.earlier.times[14 + bucket] = static_cast<std::uint32_t>(random() % 300);
+                counts.next.times[14 + bucket] = static_cast<std::uint32_t>(random() % 15);
+            }
+        }
+    }
+    message.report->rollouts = { rollout };
+    CHECK(encodeFleetMessage(message).size() <= maxBytes);
+}
+
 /** A node of a large fleet has a few requests of a few workspaces between two reports. */
 TEST_CASE("a report of a node in a large fleet fits into a small datagram")
 {
--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -186,4 +186,45 @@
     CHECK(server->startedAt == 1'760'000'000'123);
 }
 
+struct OrderCase {
+    const char* name;
+    const char* key;
+    const char* text;
+    bool isAccepted;
+};
+
+const OrderCase orderCases[] = {
+    { "valid", "op/rollout/llm", R"({"backend":"llm","to":"v2","over-s":90})", true },
+    { "further fields", "op/rollout/llm", R"({"backend":"llm","to":"v2","over-s":90.5,"by":"ops"})", true },
+    { "another service than the key's", "op/rollout/app", R"({"backend":"llm","to":"v2","over-s":90})", false },
+    { "no service", "op/rollout/llm", R"({"to":"v2","over-s":90})", false },
+    { "no version", "op/rollout/llm", R"({"backend":"llm","over-s":90})", false },
+    { "a version that is a number", "op/rollout/llm", R"({"backend":"llm","to":2,"over-s":90})", false },
+    { "no time", "op/rollout/llm", R"({"backend":"llm","to":"v2"})", false },
+    { "a time as text", "op/rollout/llm", R"({"backend":"llm","to":"v2","over-s":"90"})", false },
+    { "no time at all", "op/rollout/llm", R"({"backend":"llm","to":"v2","over-s":0})", false },
+    { "a negative time", "op/rollout/llm", R"({"backend":"llm","to":"v2","over-s":-1})", false },
+    { "a time beyond the range", "op/rollout/llm", R"({"backend":"llm","to":"v2","over-s":1e300})", false },
+    { "truncated JSON", "op/rollout/llm", R"({"backend":"llm","to)", false },
+    { "JSON list", "op/rollout/llm", "[]", false },
+};
+
+TEST_CASE("an order of a roll-out is decoded, or rejected with findings")
+{
+    for (const auto& row : orderCases) {
+        CAPTURE(row.name);
+        Findings findings;
+        const auto order = PlatformDocuments().decodeRollout(row.key, row.text, findings);
+        CHECK(order.has_value() == row.isAccepted);
+        CHECK(findings.empty() == row.isAccepted);
+        if (order)
+            CHECK(order->duration == (std::string(row.text).find("90.5") == std::string::npos ? std::chrono::milliseconds(90'000) : std::chrono::milliseconds(90'500)));
+    }
+    const PlatformDocuments documents;
+    CHECK(documents.rolloutStatusKey("llm") == "status/rollout/llm");
+    CHECK(documents.encodeRolloutStatus({ "llm", "v2", RolloutState::Running }) == R"({"state":"running","to":"v2"})");
+    CHECK(documents.encodeRolloutStatus({ "llm", "v2", RolloutState::Completed }) == R"({"state":"completed","to":"v2"})");
+    CHECK(documents.encodeRolloutStatus({ "llm", "v2", RolloutState::RolledBack }) == R"({"state":"rolled_back","to":"v2"})");
+}
+
 } // namespace
--- a/tests/platform/test_wirenames.cpp
+++ b/tests/platform/test_wirenames.cpp
@@ -13,7 +13,7 @@
 constexpr std::array wireNames { "X-Attempt-Id", "X-Response-Seal", "X-Deadline-Ms", "X-Expect-Instance", "X-Tenant", "X-Instance-Load", "X-Not-Executed",
     "X-Duty-Holder", "X-Fence-Token", "X-Token-Counts", "X-Prompt-Prefix", "X-Request-Priority", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "/kv-", "/hold-",
     "op/config", "servers/", "route-type", "slo-ms", "max-attempts", "can-resume", "gap-aim-ms", "api-keys", "rate-per-s", "autoscale", "spot-price",
-    "window-id", "cold-left-ms", "expect-rev", "allow-stale", "tombstone", "Server-Limit", "Store-Era", "token_stream", "non_idempotent" };
+    "window-id", "cold-left-ms", "expect-rev", "allow-stale", "tombstone", "Server-Limit", "Store-Era", "op/rollout", "status/rollout", "over-s", "rolled_back", "token_stream", "non_idempotent" };
 
 auto readText(const fs::path& path) -> std::string
 {
