--- a/src/rollout/versioncomparison.cpp
+++ b/src/rollout/versioncomparison.cpp
@@ -14,7 +14,8 @@
 constexpr auto spanLength = 1s; ///< Answers within it are compared; two reports of each node.
 constexpr double recentFactor = 0.9; ///< Weight of a span relative to the one after it; a half-life of 7 s.
 constexpr double minDeviations = 4; ///< Standard deviations above the expected number of bad answers; each of many routes and times is looked at each second.
-constexpr double minDifference = 0.02; ///< Smallest part of the answers, above that of the other versions, that counts as worse.
+constexpr double minSlowDifference = 0.02; ///< Smallest part of slow answers, above that of the other versions, that counts as worse.
+constexpr double minFailureDifference = 0.01; ///< The same for failures, which are clearer than times.
 constexpr double minReferenceDeviations = 5; ///< The same without answers of the other versions at the same time.
 constexpr double minReferenceDifference = 0.1;
 constexpr double minBadAnswers = 3;
@@ -128,18 +129,18 @@
         halve(route.lastEarlier);
     route.span = {};
     for (const auto* properties : { &route.all, &route.recent }) {
-        route.fault = faultOf(*properties, minDeviations, minDifference);
+        route.fault = faultOf(*properties, minDeviations, minFailureDifference, minSlowDifference);
         if (route.fault != Fault::None)
             return;
     }
-    route.fault = faultOf(route.reference, minReferenceDeviations, minReferenceDifference);
+    route.fault = faultOf(route.reference, minReferenceDeviations, minReferenceDifference, minReferenceDifference);
 }
 
-auto VersionComparison::faultOf(const Properties& properties, double deviations, double part) -> Fault
+auto VersionComparison::faultOf(const Properties& properties, double deviations, double failurePart, double slowPart) -> Fault
 {
-    if (properties.failures.isExcess(deviations, part))
+    if (properties.failures.isExcess(deviations, failurePart))
         return Fault::Failures;
-    const auto isSlow = std::any_of(properties.slow.begin(), properties.slow.end(), [deviations, part](const Sums& sums) { return sums.isExcess(deviations, part); });
+    const auto isSlow = std::any_of(properties.slow.begin(), properties.slow.end(), [deviations, slowPart](const Sums& sums) { return sums.isExcess(deviations, slowPart); });
     return isSlow ? Fault::SlowAnswers : Fault::None;
 }
 
--- a/src/rollout/versioncomparison.h
+++ b/src/rollout/versioncomparison.h
@@ -83,7 +83,7 @@
     using RouteKey = std::pair<std::uint32_t, RolloutAspect>;
 
     auto endSpan(const RouteKey&, Route&) -> void;
-    [[nodiscard]] static auto faultOf(const Properties&, double minDeviations, double minDifference) -> Fault;
+    [[nodiscard]] static auto faultOf(const Properties&, double deviations, double failurePart, double slowPart) -> Fault;
 
     std::map<RouteKey, Route> routes;
     TimePoint spanEnd;
--- a/tests/rollout/test_versioncomparison.cpp
+++ b/tests/rollout/test_versioncomparison.cpp
@@ -35,6 +35,7 @@
     { "only the old version fails", { 0.3, 0, 1, 1 }, {}, 60, 0.05, 60, 0, VersionVerdict::Good },
     { "all answers fail, few requests", {}, { 1, 0, 1, 1 }, 4, 0.1, 20, 0, VersionVerdict::Bad },
     { "a tenth fails", {}, { 0.1, 0, 1, 1 }, 60, 0.05, 60, 0, VersionVerdict::Bad },
+    { "three in a hundred fail", {}, { 0.03, 0, 1, 1 }, 100, 0.05, 120, 0, VersionVerdict::Bad },
     { "a tenth fails, later", {}, { 0.1, 0, 1, 1 }, 60, 0.05, 120, 60, VersionVerdict::Bad },
     { "all answers four times slower", {}, { 0, 0, 1, 4 }, 40, 0.05, 40, 0, VersionVerdict::Bad },
     { "a third six times slower", {}, { 0, 0.33, 6, 1 }, 60, 0.05, 90, 0, VersionVerdict::Bad },
