--- a/src/rollout/rolloutplan.cpp
+++ b/src/rollout/rolloutplan.cpp
@@ -19,7 +19,7 @@
 constexpr double firstRaise = 0.25;
 constexpr double secondRaise = 0.5;
 constexpr Milliseconds raiseStepTime = 2'200ms; ///< For a step to take effect on all nodes (up to 1 s) and to show in answers.
-constexpr Milliseconds fullLead = 5'000ms; ///< Least time before the deadline at which all requests go to the new version: two reports of each node, the write, and a change of the share between.
+constexpr Milliseconds fullLead = 6'000ms; ///< Least time before the deadline at which all requests go to the new version: for the write, two reports of each node, of which some are lost, the end of open requests and the last write.
 constexpr Milliseconds minFullTime = 2'500ms; ///< Time that the new version has to serve everything before the roll-out is completed.
 constexpr auto raiseTime = 2 * raiseStepTime;
 
