--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -68,7 +68,7 @@
 } // namespace
 
 CoordinationController::CoordinationController(EventLoop& loop, KeyValueStore& store, const GatewaySettings& settings, GatewayBoard& board,
-    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, SharedLoadController& loads, RelayController& relay, StoreEpochMonitor& epochs, Metrics& metrics, const EventLog& log, ReportSource reportSource)
+    QuotaController& quotas, QuarantineController& quarantines, ServerLimitController& limits, SharedLoadController& loads, RolloutController& rollouts, RelayController& relay, StoreEpochMonitor& epochs, Metrics& metrics, const EventLog& log, ReportSource reportSource)
     : loop(loop)
     , store(store)
     , settings(settings)
@@ -77,6 +77,7 @@
     , quarantines(quarantines)
     , limits(limits)
     , loads(loads)
+    , rollouts(rollouts)
     , relay(relay)
     , epochs(epochs)
     , metrics(metrics)
@@ -341,6 +342,7 @@
     this->quarantines.reportReceived(message.sender, node.report.prompts, node.receivedAt);
     this->limits.reportReceived(message.sender, node.report);
     this->loads.reportReceived(message.sender, node.report);
+    this->rollouts.reportReceived(message.sender, message.session, node.report);
     for (const auto& entry : node.report.windows)
         node.windows[entry.window] = entry.counts;
     while (node.windows.size() > keptWindows)
@@ -366,6 +368,7 @@
     this->quarantines.addToAnswer(answer, EventLoop::now());
     this->limits.addToAnswer(answer, nodeId);
     this->loads.addToAnswer(answer, nodeId);
+    this->rollouts.addToAnswer(answer);
     const auto node = this->nodeRecords.find(nodeId);
     const auto& traffic = this->board.traffic.value();
     const auto& registry = this->relay.watcher(RelayTopic::Registry);
@@ -467,6 +470,7 @@
         const auto now = BootClock::now();
         const auto sentAt = answer.reportSequence == 0 ? now : report->second;
         this->limits.applyAnswer(answer, sentAt);
+        this->rollouts.applyAnswer(answer, sentAt);
         this->loads.applyAnswer(answer, now - sentAt);
     }
     this->answered.emit(answer);
--- a/src/gateway/coordinationcontroller.h
+++ b/src/gateway/coordinationcontroller.h
@@ -9,6 +9,7 @@
 #include "quarantinecontroller.h"
 #include "quotacontroller.h"
 #include "relaycontroller.h"
+#include "rolloutcontroller.h"
 #include "serverlimitcontroller.h"
 #include "sharedloadcontroller.h"
 #include "statesource.h"
@@ -54,7 +55,7 @@
 public:
     using ReportSource = std::function<NodeReport()>;
 
-    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, SharedLoadController&, RelayController&, StoreEpochMonitor&, Metrics&, const EventLog&, ReportSource);
+    CoordinationController(EventLoop&, KeyValueStore&, const GatewaySettings&, GatewayBoard&, QuotaController&, QuarantineController&, ServerLimitController&, SharedLoadController&, RolloutController&, RelayController&, StoreEpochMonitor&, Metrics&, const EventLog&, ReportSource);
     ~CoordinationController() override;
 
     auto begin() -> std::error_code;
@@ -111,6 +112,7 @@
     QuarantineController& quarantines;
     ServerLimitController& limits;
     SharedLoadController& loads;
+    RolloutController& rollouts;
     RelayController& relay;
     StoreEpochMonitor& epochs;
     Metrics& metrics;
--- a/src/gateway/fleetcontroller.h
+++ b/src/gateway/fleetcontroller.h
@@ -7,6 +7,7 @@
 #include "gatewaysettings.h"
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
+#include "rolloutcontroller.h"
 #include "serverlimitcontroller.h"
 #include "serverload.h"
 #include "statesource.h"
@@ -32,7 +33,7 @@
  */
 class FleetController : public StateSource {
 public:
-    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, const ServerLimitController&, LeadershipController&, Metrics&, const EventLog&);
+    FleetController(EventLoop&, KeyValueStore&, FleetApi&, const GatewaySettings&, GatewayBoard&, const CoordinationController&, const ServerLimitController&, const RolloutController&, LeadershipController&, Metrics&, const EventLog&);
     ~FleetController() override;
 
     /** Returns the rooms of a service in all zones; empty when they are not known. */
@@ -71,6 +72,7 @@
     GatewayBoard& board;
     const CoordinationController& coordination;
     const ServerLimitController& limits;
+    const RolloutController& rollouts;
     LeadershipController& leadership;
     Metrics& metrics;
     const EventLog& log;
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -2,6 +2,7 @@
 
 #include "loadmessage.h"
 #include "overflowencoding.h"
+#include "rolloutmessage.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -326,6 +327,7 @@
     serializeList(archive, value.limits);
     archive(value.limitsDigest);
     serializeOverflow(archive, value.overflow);
+    serializeList(archive, value.rollouts);
 }
 
 template <typename Archive>
@@ -360,6 +362,8 @@
     serializeFlag(archive, value.hasAllLimits);
     serializeList(archive, value.limits);
     serializeOverflow(archive, value.overflow);
+    serializeFlag(archive, value.hasAllRollouts);
+    serializeList(archive, value.rollouts);
 }
 
 template <typename Archive>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -6,6 +6,7 @@
 #include "overflowshare.h"
 #include "promptevidence.h"
 #include "quotaledger.h"
+#include "rolloutreport.h"
 #include "serverlimits.h"
 #include "usageledger.h"
 
@@ -59,6 +60,7 @@
     std::uint64_t limitsDigest = 0; ///< Digest of all limits that the node knows.
     std::optional<std::vector<ServerLoad>> loads; ///< Load that the node puts on backend servers, the largest first; not set when it does not share its load.
     std::optional<std::vector<OverflowShare>> overflow; ///< Shares in force on the node; filled in for a new leader only.
+    std::vector<RolloutReport> rollouts; ///< Roll-outs that the node knows of.
 };
 
 /** The share of a workspace's quota that one node may grant without the leader. */
@@ -92,6 +94,8 @@
     bool hasAllLimits = false; ///< Whether the leader knows all limits; a new leader may not know them yet.
     std::vector<LimitStatement> limits;
     std::optional<std::vector<OverflowShare>> overflow; ///< Shares of the node's zone; not set while the leader does not know them.
+    bool hasAllRollouts = false; ///< Whether all roll-outs are named; a new leader may not know them yet, and without bounds on the exposure there are none.
+    std::vector<RolloutShare> rollouts;
     bool hasAllQuarantines = false; ///< Whether all parts under quarantine are named; a new leader may not know them yet.
     std::optional<LoadAnswer> load; ///< Load of all nodes; not set while the leader does not know it.
 };
--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -69,8 +69,9 @@
         if (const auto run = this->runs.find(id); run != this->runs.end())
             run->second->refuseWaiting("no_room", retryAfter);
     })
+    , rollouts(this->policy, settings, board, metrics, log)
     , usage(settings.bounds.usageWindow)
-    , context { loop, this->pool, dialect, *this, mover, this->policy, prompts, buffers, metrics, log, [this](const std::string& workspace, std::chrono::milliseconds ago) {
+    , context { loop, this->pool, dialect, *this, mover, this->rollouts, prompts, buffers, metrics, log, [this](const std::string& workspace, std::chrono::milliseconds ago) {
                    this->usage.requestBegan(workspace, this->clock.at(EventLoop::now()) - ago);
                } }
     , waitTimer(loop, [this] { this->advanceWaiting(); })
@@ -147,6 +148,7 @@
     if (!request.service)
         return Refusal { HttpStatus::unavailable, "no_service", notReadyRetryDelay };
     ++this->receivedRequests[request.service->name];
+    this->rollouts.requestReceived(request.service->name);
     if (const auto wait = this->pauseLeft(request.service->name, EventLoop::now()))
         return Refusal { HttpStatus::unavailable, "servers_paused", wait };
     if (const auto left = this->prompts.quarantineLeft(request.service->name, request.fields.promptParts, EventLoop::now()))
@@ -243,6 +245,7 @@
         this->answerTimes.answered(request.route->name, answerSize(request), *time);
     this->admissions.withdraw(id);
     this->runs.erase(found);
+    this->rollouts.requestEnded(id);
     this->advanceWaiting();
 }
 
@@ -285,6 +288,7 @@
         return true;
     });
     this->availability.retain(servers, EventLoop::now());
+    this->rollouts.serversChanged(servers, EventLoop::now());
     this->assignStreamEngines();
     this->advanceWaiting();
     this->moveRuns(servers);
@@ -350,23 +354,6 @@
     return static_cast<std::int64_t>(this->pool.connectionCount(server.id)) < std::max(minConnections, own);
 }
 
-auto ForwardController::chooseServer(const ForwardRequest& request, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> const BackendServer*
-{
-    auto routing = request.routingRequest();
-    routing.zone = this->settings.zone;
-    if (this->zoneSelector)
-        this->zoneSelector->selectZone(request.service->name, routing, now);
-    auto candidates = this->suitableServers(request, excluded, now, routing.overflowZone);
-    std::erase_if(candidates, [this, &request](const auto* server) { return !this->hasFreeConnection(*server, *request.service); });
-    this->admissions.restrict(request, candidates, now);
-    const auto* server = this->policy.choose(routing, candidates, now);
-    if (server && this->zoneSelector)
-        this->zoneSelector->serverChosen(routing, *server);
-    if (server)
-        this->readTokens[request.service->name] += this->policy.expectedPrefillTokens(routing, *server, now);
-    return server;
-}
-
 auto ForwardController::tryAcquireAttempt(const std::string& service, EventLoop::TimePoint now) -> bool
 {
     return this->budgetOf(service).tryAcquire(now);
@@ -447,6 +434,7 @@
     for (const auto& [window, counts] : this->usage.windows())
         report.windows.push_back({ window, counts });
     this->limits.addToReport(report);
+    this->rollouts.addToReport(report, now);
     auto services = this->takeDemand(seconds);
     for (auto& [service, tokens] : this->readTokens) {
         auto& rate = this->readTokensPerSecond[service];
--- a/src/gateway/forwardcontroller.h
+++ b/src/gateway/forwardcontroller.h
@@ -11,6 +11,7 @@
 #include "gatewaysettings.h"
 #include "promptmonitor.h"
 #include "quotacontroller.h"
+#include "rolloutrouting.h"
 #include "runmover.h"
 #include "serveravailability.h"
 #include "serverindex.h"
@@ -52,6 +53,8 @@
     [[nodiscard]] auto admission() const -> const AdmissionController& { return this->admissions; }
     /** Sets what decides which requests leave the zone; without it none do by decision of the leader. */
     auto setZoneSelector(ZoneSelector& selector) -> void { this->zoneSelector = &selector; }
+    /** Returns how this node holds roll-outs, for the state dump. */
+    [[nodiscard]] auto rolloutState() const -> const StateSource& { return this->rollouts; }
 
     [[nodiscard]] auto openCount() const -> std::size_t { return this->runs.size(); }
 
@@ -97,7 +100,8 @@
     auto attemptEnded(const ForwardRequest& request, const BackendServer&, AttemptEnd end, EventLoop::TimePoint now) -> void override { this->admissions.attemptEnded(request, end, now); }
     auto serverFull(const BackendServer& server, EventLoop::TimePoint now) -> void override { this->admissions.serverFull(server, now); }
     /** Returns the servers that may get the request as far as it is known, none of \a excluded. */
-    auto suitableServers(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now, std::string_view overflowZone = {}) -> std::vector<const BackendServer*>;
+    auto suitableServers(const ForwardRequest&, const ServerIndex&, const std::set<std::string>& excluded, EventLoop::TimePoint now, std::string_view overflowZone = {}) -> std::vector<const BackendServer*>;
+    auto suitableServers(const ForwardRequest&, const std::set<std::string>& excluded, EventLoop::TimePoint now) -> std::vector<const BackendServer*>;
     auto pauseLeft(const std::string& service, EventLoop::TimePoint now) -> std::optional<std::chrono::milliseconds> override;
     [[nodiscard]] auto mayResumeCopy(const BackendServer&, EventLoop::TimePoint now) const -> bool override;
     auto logLeftOut(const std::string& id, UnavailableReason, std::optional<std::chrono::milliseconds> duration) -> void;
@@ -119,6 +123,7 @@
     BackendPool pool;
     CacheAwarePolicy policy;
     AdmissionController admissions;
+    RolloutRouting rollouts;
     UsageLedger usage;
     ZoneSelector* zoneSelector = nullptr;
     ForwardContext context;
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -36,19 +36,20 @@
     , quarantines(*this->systems.store, this->metrics, this->log)
     , limits(this->settings.id, this->shared, this->metrics, this->log)
     , loads(this->settings, this->shared, this->metrics, this->log)
+    , rollouts(loop, *this->systems.store, *this->systems.documents, this->settings, this->shared, this->metrics, this->log)
     , forwarding(loop, *this->systems.dialect, *this->systems.mover, this->settings, this->shared, this->quotas, this->limits, this->loads, this->quarantines, this->buffers, this->clock, this->metrics, this->log)
     , traffic(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->epochs, this->metrics, this->log)
     , registry(loop, *this->systems.store, *this->systems.documents, this->settings.bounds, this->shared, this->log)
     , leadership(loop, *this->systems.store, this->settings, this->shared, this->log)
     , relay(loop, this->settings, this->shared, { &this->traffic.storeWatcher(), &this->registry.storeWatcher(), &this->leadership.storeWatcher() }, this->metrics, this->log)
-    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->loads, this->relay, this->epochs, this->metrics, this->log, [this] {
+    , coordination(loop, *this->systems.store, this->settings, this->shared, this->quotas, this->quarantines, this->limits, this->loads, this->rollouts, this->relay, this->epochs, this->metrics, this->log, [this] {
         auto report = this->forwarding.makeReport();
         this->overflow.addToReport(report, EventLoop::now());
         return report;
     })
     , overflow(loop, this->settings, this->shared, this->coordination, this->metrics, this->log)
     , usageReports(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->leadership, this->clock, this->metrics, this->log)
-    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->leadership, this->metrics, this->log)
+    , fleet(loop, *this->systems.store, *this->systems.fleet, this->settings, this->shared, this->coordination, this->limits, this->rollouts, this->leadership, this->metrics, this->log)
     , callers(
           loop, this->buffers, [this](const std::shared_ptr<CallerExchange>& exchange) { this->forwarding.handle(exchange); }, &this->intake)
     , intakeControl(loop, this->intake, this->buffers, this->callers, this->settings.memory, this->metrics, this->log)
@@ -108,6 +109,7 @@
     this->registry.begin();
     this->relay.begin();
     this->overflow.begin();
+    this->rollouts.begin();
     if (this->settings.fleetApi.port != 0) {
         this->usageReports.begin();
         this->fleet.begin();
@@ -147,7 +149,7 @@
 {
     nlohmann::json state { { "node", this->settings.id }, { "zone", this->settings.zone } };
     for (const StateSource* source : std::initializer_list<const StateSource*> {
-             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->loads, &this->usageReports, &this->fleet, &this->forwarding, &this->forwarding.admission(), &this->intakeControl, &this->overflow })
+             &this->settingsMonitor, &this->epochs, &this->lifecycle, &this->traffic, &this->registry, &this->leadership, &this->relay, &this->coordination, &this->quotas, &this->quarantines, &this->limits, &this->loads, &this->usageReports, &this->fleet, &this->forwarding, &this->forwarding.admission(), &this->intakeControl, &this->overflow, &this->rollouts, &this->forwarding.rolloutState() })
         state[source->stateName()] = source->dumpState();
     return state;
 }
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -20,6 +20,7 @@
 #include "quotacontroller.h"
 #include "registrycontroller.h"
 #include "relaycontroller.h"
+#include "rolloutcontroller.h"
 #include "runmover.h"
 #include "serverlimitcontroller.h"
 #include "settingsmonitor.h"
@@ -92,6 +93,7 @@
     QuarantineController quarantines;
     ServerLimitController limits;
     SharedLoadController loads;
+    RolloutController rollouts;
     ForwardController forwarding;
     TrafficController traffic;
     RegistryController registry;
