--- a/src/admission/admissionqueue.cpp
+++ b/src/admission/admissionqueue.cpp
@@ -149,6 +149,24 @@
     if (found == this->queues.end())
         return std::nullopt;
     auto& queue = found->second;
+    const auto next = this->nextTurn(queue);
+    if (!next)
+        return std::nullopt;
+    const auto entry = this->entries.find(next->first);
+    auto request = entry->second.request;
+    const auto priority = queue.counts.begin()->first;
+    for (auto& [workspace, turn] : queue.turns) {
+        if (next->second > 0 && headOf(turn, priority))
+            turn.deficit += next->second * quantum;
+    }
+    queue.turns.at(request.workspace).deficit -= costOf(request);
+    queue.current = request.workspace;
+    this->erase(entry);
+    return request;
+}
+
+auto AdmissionQueue::nextTurn(const ServiceQueue& queue) const -> std::optional<std::pair<std::uint64_t, std::int64_t>>
+{
     const auto priority = queue.counts.begin()->first;
     // Equivalent to visiting the workspaces in turns until one has enough tokens for its first request.
     const auto begin = queue.turns.lower_bound(queue.current);
@@ -169,18 +187,7 @@
     };
     visit(begin, queue.turns.end());
     visit(queue.turns.begin(), begin);
-    if (!chosen)
-        return std::nullopt;
-    for (auto& [workspace, turn] : queue.turns) {
-        if (leastRounds > 0 && headOf(turn, priority))
-            turn.deficit += leastRounds * quantum;
-    }
-    const auto entry = this->entries.find(*chosen);
-    auto request = entry->second.request;
-    queue.turns.at(request.workspace).deficit -= costOf(request);
-    queue.current = request.workspace;
-    this->erase(entry);
-    return request;
+    return chosen ? std::optional(std::pair(*chosen, leastRounds)) : std::nullopt;
 }
 
 auto AdmissionQueue::putBack(const WaitingRequest& request, TimePoint now) -> void
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -124,6 +124,9 @@
 
     /** Moves requests whose objective or deferral has passed. */
     auto reorder(TimePoint now) -> void;
+
+    /** Returns the request that starts next, and the rounds of turns until then. */
+    [[nodiscard]] auto nextTurn(const ServiceQueue&) const -> std::optional<std::pair<std::uint64_t, std::int64_t>>;
     [[nodiscard]] auto victimFor(const WaitingRequest&) const -> std::optional<std::uint64_t>;
     [[nodiscard]] static auto headOf(const Turn&, std::int64_t priority) -> std::optional<std::uint64_t>;
     [[nodiscard]] static auto nextChange(const Entry&) -> std::optional<TimePoint>;
--- a/tests/gatewayadmission/test_refusaldelay.cpp
+++ b/tests/gatewayadmission/test_refusaldelay.cpp
@@ -37,9 +37,8 @@
     for (const auto& row : delayCases) {
         CAPTURE(row.name);
         RefusalDelay delays(7);
-        std::vector<std::chrono::milliseconds> returns;
-        for (int caller = 0; caller < 200; ++caller)
-            returns.push_back(delays.next(row.available, row.remaining));
+        std::vector<std::chrono::milliseconds> returns(200);
+        std::generate(returns.begin(), returns.end(), [&delays, &row] { return delays.next(row.available, row.remaining); });
         const auto [first, last] = std::minmax_element(returns.begin(), returns.end());
         CHECK(*first >= row.earliest);
         CHECK(*last <= row.latest);
--- a/tests/gatewayadmission/test_roomshare.cpp
+++ b/tests/gatewayadmission/test_roomshare.cpp
@@ -121,7 +121,7 @@
         }
         // In 100 ms, a third of the running requests ends.
         for (std::int64_t ended = 0; ended < slots / 3; ++ended) {
-            auto& count = open[static_cast<std::size_t>((step * 7 + ended) % nodes)];
+            auto& count = open[static_cast<std::size_t>((std::int64_t { step } * 7 + ended) % nodes)];
             count -= count > 0 ? 1 : 0;
         }
     }
