Rollout: Keeps the index of servers without a roll-out, and ignores overtaken answers

Cause: with roll-outs enabled each request looked through all servers of a service, also without a roll-out; an answer that a later one had overtaken could bring a share back; a node that was cut off could shorten a later roll-out.

Change: services without a share or a version held back use the index of all servers, sides are kept until something changes and know the engines for long streams; answers to earlier reports are ignored.

--- a/src/gateway/forwardcontroller.cpp
+++ b/src/gateway/forwardcontroller.cpp
@@ -287,6 +287,7 @@
     }
     for (auto& [service, index] : this->serversByService)
         index.setStreamEngines(chosen);
+    this->rollouts.setStreamEngines(chosen);
     this->policy.setStreamEngines(std::move(chosen));
 }
 
--- a/src/gateway/rolloutcontroller.cpp
+++ b/src/gateway/rolloutcontroller.cpp
@@ -73,8 +73,10 @@
 
 auto RolloutController::applyAnswer(const FleetAnswer& answer, BootClock::time_point reportSent) -> void
 {
-    if (!this->isEnabled() || !answer.hasAllRollouts)
+    // An answer that was overtaken by a later one may have a share that no longer holds.
+    if (!this->isEnabled() || !answer.hasAllRollouts || reportSent < this->lastReportSent)
         return;
+    this->lastReportSent = reportSent;
     this->inForce.write({ answer.rollouts, true, EventLoop::now() - (BootClock::now() - reportSent) });
 }
 
--- a/src/gateway/rolloutcontroller.h
+++ b/src/gateway/rolloutcontroller.h
@@ -53,6 +53,7 @@
     const EventLog& log;
     SectionWriter<RolloutsInForce> inForce;
     Timer timer;
+    BootClock::time_point lastReportSent; ///< Time of the report that the newest answer in force belongs to.
     RolloutNodes nodes; ///< Last reports of all nodes; complete on the leader only.
     std::unique_ptr<RolloutLeading> leading; ///< Set while this node leads, or coordinates after it has led.
     std::uint64_t fence = 0; ///< Fence of the leadership that it belongs to.
--- a/src/gateway/rolloutleading.cpp
+++ b/src/gateway/rolloutleading.cpp
@@ -85,9 +85,11 @@
             known.push_back(progress);
         return;
     }
+    if (numberOf(report.order) < numberOf(found->order))
+        return;
     if (!isOver(found->phase) && !isOver(report.phase))
         found->left = std::min(found->left, report.left);
-    if (numberOf(report.order) < numberOf(found->order) || !isLater(progress, *found))
+    if (!isLater(progress, *found))
         return;
     found->step = report.step;
     found->phase = report.phase;
--- a/src/gateway/rolloutrouting.cpp
+++ b/src/gateway/rolloutrouting.cpp
@@ -85,20 +85,19 @@
         this->sides.clear();
     const auto& service = request.service->name;
     this->requests[request.id] = { rolloutRouteKey(request.route->name), request.isStream() };
+    if (!this->gate.hasRestrictions(service))
+        return { &all };
     std::vector<const ServerIndex*> indexes;
     for (const auto side : this->gate.sidesFor(service, request.id, isRepeat, this->latestEnd(request, now), now)) {
         auto found = this->sides.find({ service, side });
         if (found == this->sides.end()) {
             std::vector<const BackendServer*> accepted;
             std::copy_if(all.servers().begin(), all.servers().end(), std::back_inserter(accepted), [this, side](const BackendServer* server) { return this->gate.accepts(*server, side); });
-            // All servers together have the engines for long streams assigned.
-            if (accepted.size() == all.servers().size()) {
-                indexes.push_back(&all);
-                continue;
-            }
-            found = this->sides.emplace(std::pair(service, side), ServerIndex(accepted)).first;
+            found = this->sides.try_emplace({ service, side }).first;
+            if (accepted.size() != all.servers().size())
+                found->second.emplace(accepted).setStreamEngines(this->streamEngines);
         }
-        indexes.push_back(&found->second);
+        indexes.push_back(found->second ? &*found->second : &all);
     }
     return indexes;
 }
@@ -116,6 +115,12 @@
         this->gate.serversChanged(servers, now);
 }
 
+auto RolloutRouting::setStreamEngines(const std::set<std::string>& ids) -> void
+{
+    this->streamEngines = ids;
+    this->sides.clear();
+}
+
 auto RolloutRouting::addToReport(NodeReport& report, TimePoint now) -> void
 {
     if (this->isEnabled())
--- a/src/gateway/rolloutrouting.h
+++ b/src/gateway/rolloutrouting.h
@@ -13,6 +13,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -41,9 +43,12 @@
     /** Forgets the request \a id, which has ended. */
     auto requestEnded(std::uint64_t id) -> void;
 
-    /** Takes over that the live servers or the engines for long streams have changed. */
+    /** Takes over all registered servers. */
     auto serversChanged(const BackendServers& servers, TimePoint now) -> void;
 
+    /** Sets the \a ids of the engines for long streams. */
+    auto setStreamEngines(const std::set<std::string>& ids) -> void;
+
     auto addToReport(NodeReport& report, TimePoint now) -> void;
 
     using RoutingPolicy::choose;
@@ -87,7 +92,8 @@
     RolloutCounter counter;
     std::unordered_map<std::uint32_t, RouteTimes> times; ///< By route.
     std::unordered_map<std::uint64_t, Request> requests; ///< Open requests, by id.
-    std::map<std::pair<std::string, RolloutSide>, ServerIndex> sides; ///< Live servers of one side of a service; made when they are needed.
+    std::map<std::pair<std::string, RolloutSide>, std::optional<ServerIndex>> sides; ///< Live servers of one side of a service, made when they are needed; nothing when these are all.
+    std::set<std::string> streamEngines; ///< Ids of the engines for long streams.
 };
 
 } // namespace Primrosefork
--- a/src/rollout/rolloutgate.cpp
+++ b/src/rollout/rolloutgate.cpp
@@ -99,6 +99,13 @@
     return isRolledBack || (known != this->services.end() && known->second.heldSince.contains(version));
 }
 
+auto RolloutGate::hasRestrictions(const std::string& service) const -> bool
+{
+    const auto known = this->services.find(service);
+    return (known != this->services.end() && !known->second.heldSince.empty())
+        || std::any_of(this->current.begin(), this->current.end(), [&service](const RolloutShare& share) { return share.service == service; });
+}
+
 auto RolloutGate::accepts(const BackendServer& server, RolloutSide side) const -> bool
 {
     if (this->isBarred(server.pool, server.version))
--- a/src/rollout/rolloutgate.h
+++ b/src/rollout/rolloutgate.h
@@ -47,6 +47,9 @@
     /** Ends the holding back of versions whose time has passed; returns whether there were any. */
     auto update(TimePoint now) -> bool;
 
+    /** Returns whether some versions of \a service get only a part of the requests, or none. */
+    [[nodiscard]] auto hasRestrictions(const std::string& service) const -> bool;
+
     /** Returns whether \a server belongs to \a side of its service. */
     [[nodiscard]] auto accepts(const BackendServer& server, RolloutSide side) const -> bool;
 
