Intake: Counted connections against the room of bodies, and tested refusals

Cause: connections and admitted bodies together could fill the buffer budget, so that answers would have been given up; a caller that was still sending when it was refused had its connection reset after a second, before it could read the refusal.

Change: a body is admitted against all buffers that are never given up; the connection is closed a second after the last input of a refused request, at most 30 s after the refusal. Connections that have been ending for a second are closed before kept ones when descriptors are short.

--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -34,7 +34,7 @@
 constexpr int bodyPauses = 2; ///< Number of idle timeouts for which a body may pause in all.
 constexpr std::chrono::milliseconds idleMargin = 1s; ///< Added to the idle timeout: the last response and the next request are on their way while the caller keeps within it.
 constexpr std::chrono::milliseconds otherNodeDelay = 100ms; ///< Retry-After for callers whom another node can serve.
-constexpr std::chrono::milliseconds lingerTimeout = 1s; ///< Time for the caller to read the last response and close the connection.
+constexpr std::chrono::milliseconds lingerTimeout = 1s; ///< Time for the caller to read the last response and close the connection, since its last input.
 constexpr std::chrono::milliseconds finalWriteTimeout = 30s; ///< Time limit for writing the last response, if the caller does not read it.
 
 auto chunkSizeLine(std::size_t size) -> std::string
@@ -168,6 +168,9 @@
         this->heldBytes.resize(connectionBytes + evbuffer_get_length(input));
     if (this->state == State::Closing || this->state == State::Lingering) {
         evbuffer_drain(input, evbuffer_get_length(input));
+        // A caller that still sends its body reads the refusal afterwards.
+        if (this->state == State::Lingering && EventLoop::now() - this->phaseBegan < finalWriteTimeout)
+            this->timer.start(lingerTimeout);
     }
 }
 
@@ -209,7 +212,7 @@
     if (const auto text = head.headers.get("Content-Length")) {
         const auto length = std::strtoull(text->c_str(), nullptr, 10);
         this->isTooLarge = length > this->limits.bodyBytes;
-        this->isRefused = this->intake && length > BodyAdmission::smallBytes && !this->intake->bodies.admits(length);
+        this->isRefused = length > BodyAdmission::smallBytes && !this->admits(length);
     }
     const auto expect = head.headers.get("Expect");
     if (!this->isTooLarge && !this->isRefused && expect && strcasecmp(expect->c_str(), "100-continue") == 0) {
@@ -225,7 +228,7 @@
     else
         this->incoming.body.add(bytes);
     const auto size = this->incoming.body.size();
-    if (this->intake && size > BodyAdmission::smallBytes && !this->intake->bodies.admits(size))
+    if (size > BodyAdmission::smallBytes && !this->admits(size))
         this->isRefused = true;
 }
 
@@ -239,6 +242,11 @@
     this->timer.start(timerDelay(limit));
 }
 
+auto CallerConnection::admits(std::size_t bytes) const -> bool
+{
+    return !this->intake || this->intake->bodies.admits(bytes, this->buffers.pinnedSize());
+}
+
 auto CallerConnection::countIncoming() -> void
 {
     // The headers are kept as they were received and as names and values.
@@ -269,7 +277,7 @@
         this->closesAfterResponse = true;
     this->incomingBytes.reset();
     bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
-    const auto isAdmitted = !this->intake || this->intake->bodies.admits(this->incoming.body.size());
+    const auto isAdmitted = this->admits(this->incoming.body.size());
     this->exchange = std::make_shared<CallerExchange>(*this, this->buffers, std::move(this->incoming), isAdmitted ? this->intake : nullptr);
     this->incoming = {};
     const auto current = this->exchange;
--- a/src/forwarding/callerconnection.h
+++ b/src/forwarding/callerconnection.h
@@ -130,6 +130,7 @@
     auto parseInput() -> void;
     auto headReceived(const MessageHead&) -> void;
     auto bodyReceived(std::string_view) -> void;
+    [[nodiscard]] auto admits(std::size_t bodyBytes) const -> bool;
     auto countIncoming() -> void;
     auto refuse() -> void;
     auto waitForBody() -> void;
--- a/src/http/bufferbudget.cpp
+++ b/src/http/bufferbudget.cpp
@@ -8,6 +8,7 @@
 BufferBudget::Account::Account(BufferBudget& budget, GiveUpHandler giveUp)
     : budget(budget)
     , giveUp(std::move(giveUp))
+    , isPinned(!this->giveUp)
 {
 }
 
@@ -15,6 +16,8 @@
 {
     this->budget.candidates.erase({ this->bytes, this });
     this->budget.total -= this->bytes;
+    if (this->isPinned)
+        this->budget.pinned -= this->bytes;
 }
 
 auto BufferBudget::Account::resize(std::size_t newBytes) -> void
@@ -24,6 +27,8 @@
     auto& owner = this->budget;
     owner.candidates.erase({ this->bytes, this });
     owner.total = owner.total - this->bytes + newBytes;
+    if (this->isPinned)
+        owner.pinned = owner.pinned - this->bytes + newBytes;
     owner.peak = std::max(owner.peak, owner.total);
     this->bytes = newBytes;
     if (this->giveUp && newBytes > 0)
--- a/src/http/bufferbudget.h
+++ b/src/http/bufferbudget.h
@@ -36,6 +36,7 @@
         BufferBudget& budget;
         GiveUpHandler giveUp;
         std::size_t bytes = 0;
+        const bool isPinned; ///< Whether the buffer is never given up.
         bool isGivenUp = false; ///< Whether the buffer was given up; it no longer counts, even if its owner clears it later.
     };
 
@@ -51,6 +52,9 @@
     /** Returns the largest number of bytes in all buffers since the last call. */
     auto takePeak() -> std::size_t { return std::exchange(this->peak, this->total); }
 
+    /** Returns the number of bytes in buffers that are never given up. */
+    [[nodiscard]] auto pinnedSize() const -> std::size_t { return this->pinned; }
+
     /** Returns the number of buffers that were given up. */
     [[nodiscard]] auto givenUpCount() const -> std::size_t { return this->givenUp; }
 
@@ -60,6 +64,7 @@
     std::size_t maximum;
     std::size_t total = 0;
     std::size_t peak = 0;
+    std::size_t pinned = 0;
     std::size_t givenUp = 0;
     std::set<std::pair<std::size_t, Account*>> candidates; ///< Buffers that hold bytes and can be given up, the largest one last.
 };
--- a/src/intake/bodyadmission.h
+++ b/src/intake/bodyadmission.h
@@ -7,8 +7,8 @@
 /**
  * Decides which bodies of requests may be kept until their requests end.
  *
- * A body that was admitted is never given up, so admitted bodies together are
- * limited to a part of the buffer budget. Large bodies get less of it than
+ * A body that was admitted is never given up, so admitted bodies and all else that
+ * is never given up are limited to a part of the buffer budget. Large bodies get less of it than
  * small ones, so that a few large ones do not end the service for small requests.
  */
 class BodyAdmission {
@@ -36,8 +36,11 @@
     BodyAdmission(const BodyAdmission&) = delete;
     auto operator=(const BodyAdmission&) -> BodyAdmission& = delete;
 
-    /** Returns whether a body of \a bytes may be admitted now; one body alone always may. */
-    [[nodiscard]] auto admits(std::size_t bytes) const -> bool;
+    /**
+     * Returns whether a body of \a bytes may be admitted when \a pinnedBytes are in buffers that are never given up, admitted bodies
+     * and connections among them; one body alone always may.
+     */
+    [[nodiscard]] auto admits(std::size_t bytes, std::size_t pinnedBytes) const -> bool;
 
     /** Returns the bytes of all admitted bodies. */
     [[nodiscard]] auto size() const -> std::size_t { return this->admitted; }
--- a/src/intake/connectionchoice.cpp
+++ b/src/intake/connectionchoice.cpp
@@ -14,6 +14,7 @@
 enum class Rank : std::uint8_t {
     Unused,
     Slow,
+    Overdue,
     Idle,
     Receiving,
     Ending,
@@ -28,7 +29,7 @@
     case ConnectionUse::Phase::Receiving:
         return use.age < minAge ? Rank::Receiving : Rank::Slow;
     case ConnectionUse::Phase::Ending:
-        return Rank::Ending;
+        return use.age < minAge ? Rank::Ending : Rank::Overdue;
     case ConnectionUse::Phase::Responding:
         break;
     }
--- a/src/intake/connectionchoice.h
+++ b/src/intake/connectionchoice.h
@@ -25,8 +25,8 @@
 /**
  * Returns the indexes of up to \a count connections to close so that new ones can
  * be accepted, in this order: those that have sent nothing for a second, the
- * slowest incomplete requests, the others that are idle, the longest first, new
- * incomplete requests, and those that are ending. None with a request or an
+ * slowest incomplete requests, those that have been ending for a second, the others
+ * that are idle, the longest first, new incomplete requests, and those that are ending. None with a request or an
  * answer in progress is among them.
  */
 [[nodiscard]] auto connectionsToClose(const std::vector<ConnectionUse>& connections, std::size_t count) -> std::vector<std::size_t>;
--- a/tests/intake/test_intakedecisions.cpp
+++ b/tests/intake/test_intakedecisions.cpp
@@ -19,6 +19,7 @@
     std::vector<std::size_t> admitted; ///< In KiB, as all sizes; the budget is 8 MiB.
     std::size_t body;
     bool isAdmitted;
+    std::size_t connections = 0; ///< What connections take.
 };
 
 const AdmissionCase admissionCases[] = {
@@ -32,6 +33,8 @@
     { "a small one that fills the part for small ones", { 4'096, 1'024, 960 }, 64, true },
     { "a small one above its part", { 4'096, 1'024, 960 }, 65, false },
     { "a small one when even that is full", { 4'096, 1'024, 961 }, 64, false },
+    { "a large one beside many connections", { 2'048 }, 2'048, false, 1'025 },
+    { "a small one beside many connections", { 2'048 }, 64, true, 2'048 },
     { "a request without a body", { 9'000 }, 0, true },
 };
 
@@ -44,7 +47,7 @@
         std::vector<std::unique_ptr<BodyAdmission::Share>> shares;
         for (const auto size : row.admitted)
             shares.push_back(std::make_unique<BodyAdmission::Share>(admission, size * kibibyte));
-        CHECK(admission.admits(row.body * kibibyte) == row.isAdmitted);
+        CHECK(admission.admits(row.body * kibibyte, admission.size() + row.connections * kibibyte) == row.isAdmitted);
         shares.clear();
         CHECK(admission.size() == 0);
     }
@@ -96,6 +99,7 @@
     { "the slowest request", { { Phase::Receiving, 2s, 4'000'000 }, { Phase::Receiving, 30s, 3'000'000 }, { Phase::Receiving, 2s, 100'000 } }, 2, { 2, 1 } },
     { "a slow request before one that is kept", { { Phase::Idle, 9s, 0, true }, { Phase::Receiving, 2s, 100 } }, 1, { 1 } },
     { "a kept one before a request that has just begun", { { Phase::Receiving, 900ms, 100 }, { Phase::Idle, 2s, 0, true } }, 1, { 1 } },
+    { "one that has been ending for long before a kept one", { { Phase::Idle, 9s, 0, true }, { Phase::Ending, 2s } }, 1, { 1 } },
     { "one that ends last", { { Phase::Ending, 900ms }, { Phase::Receiving, 10ms, 100 } }, 2, { 1, 0 } },
     { "never one that is answered", { { Phase::Responding, 60s }, { Phase::Idle, 1s, 0, true } }, 5, { 1 } },
 };
