--- a/src/gateway/rolloutleading.cpp
+++ b/src/gateway/rolloutleading.cpp
@@ -44,7 +44,7 @@
 
 } // namespace
 
-RolloutLeading::Rollout::Rollout(RolloutProgress progress, ExposureBounds bounds, TimePoint now, TimePoint gatherEnd)
+RolloutLeading::Rollout::Rollout(const RolloutProgress& progress, ExposureBounds bounds, TimePoint now, TimePoint gatherEnd)
     : plan(progress, bounds, now)
     , ledger(progress.received, progress.sent, gatherEnd)
 {
--- a/src/gateway/rolloutleading.h
+++ b/src/gateway/rolloutleading.h
@@ -68,7 +68,7 @@
 
 private:
     struct Rollout {
-        Rollout(RolloutProgress, ExposureBounds, TimePoint now, TimePoint gatherEnd);
+        Rollout(const RolloutProgress&, ExposureBounds, TimePoint now, TimePoint gatherEnd);
 
         RolloutPlan plan;
         RolloutLedger ledger;
