--- a/tests/rollout/test_rolloutplan.cpp
+++ b/tests/rollout/test_rolloutplan.cpp
@@ -31,6 +31,27 @@
     double sent = 0;
 };
 
+using OpenRequests = std::vector<std::pair<RolloutPlan::TimePoint, double>>; ///< Ends of requests at old servers, with their number.
+
+/** Returns the situation at \a now, without what the present step has to do with it. */
+auto situationAt(const PlanCase& row, const Outcome& outcome, const OpenRequests& openRequests, RolloutPlan::TimePoint now) -> RolloutSituation
+{
+    RolloutSituation situation;
+    situation.verdict = outcome.sent >= 30 ? VersionVerdict::Good : VersionVerdict::Undecided;
+    if (row.badAt >= 0ms && now - start >= row.badAt && outcome.sent >= 5)
+        situation.verdict = VersionVerdict::Bad;
+    situation.hasServers = row.serversAt >= 0ms && now - start >= row.serversAt;
+    situation.received = static_cast<std::uint64_t>(outcome.received);
+    situation.sent = static_cast<std::uint64_t>(outcome.sent);
+    situation.requestsPerSecond = row.perSecond;
+    double open = 0;
+    for (const auto& [end, count] : openRequests)
+        open += end > now ? count : 0;
+    situation.openAtEarlier = static_cast<std::uint64_t>(open * 1'000);
+    situation.drainTime = row.answerTime;
+    return situation;
+}
+
 /** Plays a roll-out with one request after the other; \a badPhase makes the version bad once that phase has lasted for a second. */
 auto play(const PlanCase& row, RolloutPhase badPhase = RolloutPhase::RolledBack) -> Outcome
 {
@@ -38,40 +59,27 @@
     Outcome outcome;
     auto changedAt = start;
     auto share = 0.0;
-    std::vector<std::pair<RolloutPlan::TimePoint, double>> openEnds;
-    for (auto now = start; now < start + row.duration + 30s; now += tick) {
-        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
+    OpenRequests openRequests;
+    for (auto now = start; now < start + row.duration + 30s && outcome.phase != RolloutPhase::Completed; now += tick) {
         const auto requests = row.perSecond * std::chrono::duration<double>(tick).count();
         if (now - changedAt >= confirmationTime)
             share = plan.state().share;
         if (now < start + row.duration)
             outcome.received += requests;
         outcome.sent += share * requests;
-        openEnds.emplace_back(now + row.answerTime, (1 - share) * requests);
-        RolloutSituation situation;
-        const auto isBadPhase = plan.state().phase == badPhase && now - changedAt >= confirmationTime + 1s;
-        const auto isBad = (row.badAt >= 0ms && elapsed >= row.badAt && outcome.sent >= 5) || isBadPhase;
-        situation.verdict = isBad ? VersionVerdict::Bad : (outcome.sent >= 30 ? VersionVerdict::Good : VersionVerdict::Undecided);
-        situation.hasServers = row.serversAt >= 0ms && elapsed >= row.serversAt;
+        openRequests.emplace_back(now + row.answerTime, (1 - share) * requests);
+        auto situation = situationAt(row, outcome, openRequests, now);
         situation.isInForce = now - changedAt >= confirmationTime;
-        situation.received = static_cast<std::uint64_t>(outcome.received);
-        situation.sent = static_cast<std::uint64_t>(outcome.sent);
-        situation.requestsPerSecond = row.perSecond;
-        double open = 0;
-        for (const auto& [end, count] : openEnds)
-            open += end > now ? count : 0;
-        situation.openAtEarlier = static_cast<std::uint64_t>(open * 1'000);
-        situation.drainTime = row.answerTime;
+        if (plan.state().phase == badPhase && now - changedAt >= confirmationTime + 1s)
+            situation.verdict = VersionVerdict::Bad;
         if (plan.shareAt(situation) == 0)
             share = 0;
         if (const auto next = plan.next(situation, now)) {
             plan.apply(*next, now);
             changedAt = now;
             outcome.phase = next->phase;
-            outcome.endedAt = elapsed;
+            outcome.endedAt = std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
         }
-        if (isOver(outcome.phase) && outcome.phase == RolloutPhase::Completed)
-            break;
     }
     return outcome;
 }
