--- a/tests/intake/test_crowds.cpp
+++ b/tests/intake/test_crowds.cpp
@@ -93,6 +93,7 @@
         const auto bytes = std::make_shared<const std::string>(row.bytes());
         std::vector<std::unique_ptr<CrowdCaller>> crowd;
         std::size_t mostDescriptors = 0;
+        crowd.reserve(static_cast<std::size_t>(row.callers));
         for (int number = 0; number < row.callers; ++number)
             crowd.push_back(std::make_unique<CrowdCaller>(fixture.callers(), bytes));
 
--- a/tests/intake/test_intakedecisions.cpp
+++ b/tests/intake/test_intakedecisions.cpp
@@ -67,7 +67,7 @@
     { "at its headers", 0, 0ms, 30s },
     { "nothing after a pause within the idle timeout", 0, 12s, 18s },
     { "nothing for too long", 0, 31s, -1s },
-    { "a body at the least rate", 32 * 16'384, 32s, 30s },
+    { "a body at the least rate", std::size_t { 32 } * 16'384, 32s, 30s },
     { "a body below the least rate", 16'384, 32s, -1s },
     { "all but one byte of the largest body", 4'194'303, 119s, 1s },
     { "the same beyond the longest time", 4'194'303, 121s, -1s },
