Zones: Took the rooms from the shared load

Cause: shares of zones and orders of engines were computed from estimates by the nodes' reports. Change: with /load/shared, the leader's account is the source of the rooms; the estimates stay for fleets without it.

--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -60,6 +60,8 @@
     , operatorServer(loop, {}, [this](const std::shared_ptr<HttpExchange>& exchange) { this->answerOperator(exchange); })
 {
     this->forwarding.setZoneSelector(this->overflow);
+    if (this->loads.isShared())
+        this->overflow.setRoomsSource([this](EventLoop::TimePoint) { return this->loads.account().rooms(); });
     this->fleet.setRoomsSource([this](const std::string& service, EventLoop::TimePoint now) { return this->overflow.roomsOf(service, now); });
     this->shared.traffic.changed.connect([this](const TrafficInForce& inForce) {
         if (inForce.table)
