Load: Renamed the load that nodes share to BackendLoad

Change: ServerLoad of src/load is BackendLoad, in backendload.h; a closing brace that a merge had lost is back.

--- a/src/admission/roomshare.h
+++ b/src/admission/roomshare.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serverload.h"
+#include "backendload.h"
 
 #include <chrono>
 #include <cstddef>
--- a/src/gateway/fleetcontroller.h
+++ b/src/gateway/fleetcontroller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backendload.h"
 #include "coordinationcontroller.h"
 #include "fleetapi.h"
 #include "fleetplanner.h"
@@ -9,7 +10,6 @@
 #include "leadershipcontroller.h"
 #include "rolloutcontroller.h"
 #include "serverlimitcontroller.h"
-#include "serverload.h"
 #include "statesource.h"
 
 #include <functional>
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -58,7 +58,7 @@
     std::vector<PromptEvidence> prompts; ///< Evidence of prompts that crash servers, by service.
     std::vector<LimitStatement> limits; ///< Limits that servers named or withdrew lately; all that are known for a new leader.
     std::uint64_t limitsDigest = 0; ///< Digest of all limits that the node knows.
-    std::optional<std::vector<ServerLoad>> loads; ///< Load that the node puts on backend servers, the largest first; not set when it does not share its load.
+    std::optional<std::vector<BackendLoad>> loads; ///< Load that the node puts on backend servers, the largest first; not set when it does not share its load.
     std::optional<std::vector<OverflowShare>> overflow; ///< Shares in force on the node; filled in for a new leader only.
     std::vector<RolloutReport> rollouts; ///< Roll-outs that the node knows of.
 };
--- a/src/gateway/loadmessage.cpp
+++ b/src/gateway/loadmessage.cpp
@@ -178,7 +178,7 @@
     std::vector<std::string> list;
 };
 
-auto writeServers(Writer& writer, const std::vector<ServerLoad>& loads) -> void
+auto writeServers(Writer& writer, const std::vector<BackendLoad>& loads) -> void
 {
     writer.number(loads.size());
     for (const auto& load : loads) {
@@ -188,9 +188,9 @@
     }
 }
 
-auto readServers(Reader& reader) -> std::vector<ServerLoad>
+auto readServers(Reader& reader) -> std::vector<BackendLoad>
 {
-    std::vector<ServerLoad> loads(reader.size());
+    std::vector<BackendLoad> loads(reader.size());
     for (auto& load : loads) {
         load.server = reader.key();
         load.openRequests = reader.count();
--- a/src/gateway/sharedloadcontroller.cpp
+++ b/src/gateway/sharedloadcontroller.cpp
@@ -48,7 +48,7 @@
     this->isCoordinator = leadership.isCoordinator;
 }
 
-auto SharedLoadController::addToReport(NodeReport& report, std::vector<ServerLoad> loads) -> void
+auto SharedLoadController::addToReport(NodeReport& report, std::vector<BackendLoad> loads) -> void
 {
     if (!this->isShared())
         return;
--- a/src/gateway/sharedloadcontroller.h
+++ b/src/gateway/sharedloadcontroller.h
@@ -30,7 +30,7 @@
     [[nodiscard]] auto isShared() const -> bool { return this->settings.sharesLoad; }
 
     /** Adds the \a loads of this node, the largest first, to \a report, whose services are complete. */
-    auto addToReport(NodeReport& report, std::vector<ServerLoad> loads) -> void;
+    auto addToReport(NodeReport& report, std::vector<BackendLoad> loads) -> void;
 
     /** Applies the report of the node \a nodeId on the coordinator. */
     auto reportReceived(const std::string& nodeId, const NodeReport&) -> void;
--- a/src/load/serverload.cpp
+++ b/src/load/backendload.cpp
@@ -1,4 +1,4 @@
-#include "serverload.h"
+#include "backendload.h"
 
 #include "hash.h"
 
--- a/src/load/serverload.h
+++ b/src/load/backendload.h
@@ -8,12 +8,12 @@
 namespace Primrosefork {
 
 /** The load that one node, or several nodes together, put on a backend server. */
-struct ServerLoad {
+struct BackendLoad {
     std::uint32_t server = 0; ///< Key of the server, see loadKeyOf().
     std::int64_t openRequests = 0; ///< Requests that were sent to the server and have not ended.
     std::int64_t pendingPrefillTokens = 0; ///< Prompt tokens of these requests that the server has yet to prefill.
 
-    auto operator==(const ServerLoad&) const -> bool = default;
+    auto operator==(const BackendLoad&) const -> bool = default;
 };
 
 /** Returns the short key of the server \a id in messages between nodes; two servers may share a key, which adds up their loads. */
--- a/src/load/loadaccount.cpp
+++ b/src/load/loadaccount.cpp
@@ -149,15 +149,15 @@
     }
 }
 
-auto LoadAccount::sumAt(std::uint32_t key) const -> ServerLoad
+auto LoadAccount::sumAt(std::uint32_t key) const -> BackendLoad
 {
     const auto found = this->sums.find(key);
-    return found == this->sums.end() ? ServerLoad { key, 0, 0 } : ServerLoad { key, found->second.openRequests, found->second.pendingPrefillTokens };
+    return found == this->sums.end() ? BackendLoad { key, 0, 0 } : BackendLoad { key, found->second.openRequests, found->second.pendingPrefillTokens };
 }
 
-auto LoadAccount::busiest(const std::string& service) const -> std::vector<ServerLoad>
+auto LoadAccount::busiest(const std::string& service) const -> std::vector<BackendLoad>
 {
-    std::vector<ServerLoad> loads;
+    std::vector<BackendLoad> loads;
     for (const auto key : this->listed) {
         const auto found = this->serviceByKey.find(key);
         if (found != this->serviceByKey.end() && found->second == service)
@@ -178,9 +178,9 @@
     return rooms;
 }
 
-auto LoadAccount::othersAtBusiest(const Node& node) const -> std::vector<ServerLoad>
+auto LoadAccount::othersAtBusiest(const Node& node) const -> std::vector<BackendLoad>
 {
-    std::vector<ServerLoad> loads;
+    std::vector<BackendLoad> loads;
     for (const auto key : this->listed) {
         auto load = this->sumAt(key);
         const auto own = node.loads.find(key);
--- a/src/load/loadaccount.h
+++ b/src/load/loadaccount.h
@@ -46,7 +46,7 @@
     [[nodiscard]] auto isComplete() const -> bool { return this->hasEnoughReports; }
 
     /** Returns the load of all nodes at the servers of \a service that are above its mean, as far as they are among the busiest of all services. */
-    [[nodiscard]] auto busiest(const std::string& service) const -> std::vector<ServerLoad>;
+    [[nodiscard]] auto busiest(const std::string& service) const -> std::vector<BackendLoad>;
 
     /** Returns the capacity and load of each service in each zone as of the last update; empty until isComplete(). */
     [[nodiscard]] auto rooms() const -> const std::vector<ZoneRoom>& { return this->zoneRooms; }
@@ -96,9 +96,9 @@
     auto selectBusiest() -> void;
     auto updateRooms() -> void;
     [[nodiscard]] auto roomsFor(const std::string& zone) const -> std::vector<ZoneRoom>;
-    [[nodiscard]] auto othersAtBusiest(const Node&) const -> std::vector<ServerLoad>;
+    [[nodiscard]] auto othersAtBusiest(const Node&) const -> std::vector<BackendLoad>;
     [[nodiscard]] auto meansOfOthers(const Node&) const -> std::vector<MeanLoad>;
-    [[nodiscard]] auto sumAt(std::uint32_t key) const -> ServerLoad;
+    [[nodiscard]] auto sumAt(std::uint32_t key) const -> BackendLoad;
 
     std::vector<Server> servers;
     std::unordered_map<std::uint32_t, std::string> serviceByKey;
--- a/src/load/loadanswer.cpp
+++ b/src/load/loadanswer.cpp
@@ -4,7 +4,7 @@
 
 namespace Primrosefork {
 
-auto keepLargest(std::vector<ServerLoad>& loads, std::size_t limit) -> void
+auto keepLargest(std::vector<BackendLoad>& loads, std::size_t limit) -> void
 {
     const auto kept = std::min(limit, loads.size());
     std::partial_sort(loads.begin(), loads.begin() + static_cast<std::ptrdiff_t>(kept), loads.end(), [](const auto& first, const auto& second) {
--- a/src/load/loadanswer.h
+++ b/src/load/loadanswer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serverload.h"
+#include "backendload.h"
 
 #include <string>
 #include <vector>
@@ -27,13 +27,13 @@
 /** The load that one node reports. */
 struct NodeLoad {
     std::string zone; ///< Data centre of the node.
-    std::vector<ServerLoad> servers;
+    std::vector<BackendLoad> servers;
     std::vector<CallerDemand> demand;
 };
 
 /** The part of the leader's answer to a node about the load of all nodes. */
 struct LoadAnswer {
-    std::vector<ServerLoad> busiest; ///< Load of the other nodes at the servers that are above the mean of their service, the largest excess first.
+    std::vector<BackendLoad> busiest; ///< Load of the other nodes at the servers that are above the mean of their service, the largest excess first.
     std::vector<MeanLoad> means; ///< Mean load of the other nodes; empty with too few nodes.
     std::vector<ZoneRoom> rooms; ///< Over all nodes, the node's own zone first; of many rooms, only those of the own zone.
 
@@ -44,12 +44,12 @@
 constexpr double openRequestTokens = 120;
 
 /** Returns the cost of \a load in prompt tokens. */
-[[nodiscard]] inline auto loadCost(const ServerLoad& load) -> double
+[[nodiscard]] inline auto loadCost(const BackendLoad& load) -> double
 {
     return openRequestTokens * static_cast<double>(load.openRequests) + static_cast<double>(load.pendingPrefillTokens);
 }
 
 /** Sorts \a loads by descending cost and removes all but the first \a limit. */
-auto keepLargest(std::vector<ServerLoad>& loads, std::size_t limit) -> void;
+auto keepLargest(std::vector<BackendLoad>& loads, std::size_t limit) -> void;
 
 } // namespace Primrosefork
--- a/src/load/loadview.h
+++ b/src/load/loadview.h
@@ -42,7 +42,7 @@
 private:
     std::string ownZone;
     LoadAnswer answer;
-    std::unordered_map<std::uint32_t, ServerLoad> listed; ///< The busiest servers, by key.
+    std::unordered_map<std::uint32_t, BackendLoad> listed; ///< The busiest servers, by key.
     std::map<std::string, MeanLoad> means; ///< By service.
     std::map<std::string, double> othersPerOwn; ///< Requests to the other nodes for each one to this node, by service.
     std::map<std::string, double> ownPerSecond; ///< This node's requests per second in the answered report, by service.
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -200,9 +200,9 @@
     state.lastHomeRequest = now;
 }
 
-auto CacheAwarePolicy::ownLoads() const -> std::vector<ServerLoad>
+auto CacheAwarePolicy::ownLoads() const -> std::vector<BackendLoad>
 {
-    std::vector<ServerLoad> loads;
+    std::vector<BackendLoad> loads;
     for (const auto& [id, state] : this->servers) {
         if (state.running > 0)
             loads.push_back({ loadKeyOf(id), state.running, std::max<std::int64_t>(0, state.pendingPrefillTokens) });
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "backendload.h"
 #include "otherloadsource.h"
 #include "routingpolicy.h"
-#include "serverload.h"
 #include "slowdowndetector.h"
 #include "streampartition.h"
 
@@ -67,7 +67,7 @@
     auto setOtherLoads(const OtherLoadSource* source) -> void { this->otherLoads = source; }
 
     /** Returns the load that this node's open requests put on each server. */
-    [[nodiscard]] auto ownLoads() const -> std::vector<ServerLoad>;
+    [[nodiscard]] auto ownLoads() const -> std::vector<BackendLoad>;
 
     /** Discards what is known of the cache of the server \a id, after it was restarted. */
     auto clearCache(const std::string& id) -> void;
--- a/src/zones/overflowpolicy.h
+++ b/src/zones/overflowpolicy.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "backendload.h"
 #include "overflowshare.h"
-#include "serverload.h"
 
 #include <chrono>
 #include <map>
--- a/tests/gateway/test_fleetmessage.cpp
+++ b/tests/gateway/test_fleetmessage.cpp
@@ -233,7 +233,7 @@
     message.answer->load->rooms[1].requestsPerSecond = std::numeric_limits<double>::infinity();
     const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
     REQUIRE(decoded.has_value());
-    CHECK(decoded->report->loads == std::vector<ServerLoad> { { 0xfffffffe, 3, 128'000 }, { 127, 300, 0 }, { 1, 0, 1'000'000'000'000 } });
+    CHECK(decoded->report->loads == std::vector<BackendLoad> { { 0xfffffffe, 3, 128'000 }, { 127, 300, 0 }, { 1, 0, 1'000'000'000'000 } });
     REQUIRE(decoded->answer->load.has_value());
     CHECK(decoded->answer->load->busiest == load.busiest);
     CHECK(decoded->answer->load->means[0] == load.means[0]);
--- a/tests/load/test_loadaccount.cpp
+++ b/tests/load/test_loadaccount.cpp
@@ -26,13 +26,13 @@
     return servers;
 }
 
-auto at(const std::string& id, std::int64_t open, std::int64_t pending = 0) -> ServerLoad
+auto at(const std::string& id, std::int64_t open, std::int64_t pending = 0) -> BackendLoad
 {
     return { loadKeyOf(id), open, pending };
 }
 
 /** Returns an account of \a servers on which four nodes have reported \a loads each. */
-auto makeAccount(const BackendServers& servers, const std::vector<ServerLoad>& loads) -> LoadAccount
+auto makeAccount(const BackendServers& servers, const std::vector<BackendLoad>& loads) -> LoadAccount
 {
     LoadAccount account;
     account.begin(start);
@@ -172,7 +172,7 @@
 // Guards against reports and answers that grow with the servers and exceed the 3 KB a second of a node.
 TEST_CASE("lists are bounded")
 {
-    std::vector<ServerLoad> loads;
+    std::vector<BackendLoad> loads;
     for (int index = 0; index < 100; ++index)
         loads.push_back(at("llm" + std::to_string(index), 10 + index));
     auto account = makeAccount(makeServers(200), loads);
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -264,9 +264,11 @@
     policy.requestSent(makeRequest(2, {}), pool.servers[0], start);
     policy.requestSent(makeRequest(3, {}), pool.servers[1], start);
     policy.requestEnded(makeRequest(3, {}), pool.servers[1], AttemptEnd::Finished, start);
-    CHECK(policy.ownLoads() == std::vector<ServerLoad> { { loadKeyOf("s0"), 2, 500 } });
+    CHECK(policy.ownLoads() == std::vector<BackendLoad> { { loadKeyOf("s0"), 2, 500 } });
     policy.firstPieceReceived(makeRequest(1, parts), pool.servers[0], start);
-    CHECK(policy.ownLoads() == std::vector<ServerLoad> { { loadKeyOf("s0"), 2, 0 } });
+    CHECK(policy.ownLoads() == std::vector<BackendLoad> { { loadKeyOf("s0"), 2, 0 } });
+}
+
 struct ZoneCase {
     const char* name;
     const char* overflowZone;
