Admission: Left services with few slots for each node to their servers

Cause: 3 plain servers with 6 slots are a third of a slot for each of 77 nodes. Change: slots are shared out from four for each node on; below, a request is kept only from servers that have just refused one as full.

--- a/src/gateway/admissioncontroller.cpp
+++ b/src/gateway/admissioncontroller.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds minRemainingTime = 5ms; ///< Shortest time before the deadline at which a request is still sent.
 constexpr std::chrono::milliseconds minFullTime = 20ms; ///< Shortest time for which a full server gets no requests; a request that it refuses again costs an attempt.
 constexpr std::chrono::milliseconds maxFullTime = 250ms; ///< Longest such time.
+constexpr std::int64_t minSlotsPerNode = 4; ///< Slots of a service for each node from which they are shared out; a part of one or two slots is used up by chance while others are idle.
 constexpr auto evidenceLifetime = 2s; ///< Time after a full server was seen in which the service may still be full.
 constexpr int maxFailedStarts = 4; ///< Waiting requests of one service that are tried in vain before the others wait for the next time; their servers may differ.
 
@@ -90,17 +91,25 @@
 
 auto AdmissionController::isAtLimit(const std::string& name, Service& service, TimePoint now) -> bool
 {
-    if (!service.estimate.isMeasured(now))
+    if (!service.estimate.isMeasured(now) || !this->isDivisible(service))
         return false;
     const auto limit = this->limitOf(name, service, now);
     return limit.openRequests && static_cast<double>(service.openRequests + 1) > *limit.openRequests;
 }
 
+auto AdmissionController::isDivisible(const Service& service) const -> bool
+{
+    return service.slots >= minSlotsPerNode * static_cast<std::int64_t>(this->nodeCount);
+}
+
 auto AdmissionController::hasRoom(const Service& service, const BackendServer& server, TimePoint now) const -> bool
 {
     const auto full = service.fullUntil.find(server.id);
     if (full != service.fullUntil.end() && now < full->second)
         return false;
+    // What a few slots run changes too fast for what is known of them; only the servers' own refusals are.
+    if (!this->isDivisible(service))
+        return true;
     return this->policy.expectedLoad(server, now).requests < static_cast<double>(requestsAtOnce(server.slots));
 }
 
--- a/src/gateway/admissioncontroller.h
+++ b/src/gateway/admissioncontroller.h
@@ -124,6 +124,8 @@
 
     auto serviceOf(const std::string& name) -> Service&;
     auto limitOf(const std::string& name, Service&, TimePoint now) -> RoomLimit;
+    /** Returns whether the service has enough slots for each node to have a part of them. */
+    [[nodiscard]] auto isDivisible(const Service&) const -> bool;
     [[nodiscard]] auto hasRoom(const Service&, const BackendServer&, TimePoint now) const -> bool;
 
     /** Returns whether this node has as many requests open at the service as it may. */
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -63,6 +63,19 @@
     if (this->loads.isShared())
         this->overflow.setRoomsSource([this](EventLoop::TimePoint) { return this->loads.account().rooms(); });
     this->fleet.setRoomsSource([this](const std::string& service, EventLoop::TimePoint now) { return this->overflow.roomsOf(service, now); });
+    this->connectKnowledge();
+    this->lifecycle.stopBegan.connect([this] {
+        this->leadership.resign();
+        this->forwarding.answerBefore(this->lifecycle.answersDue());
+    });
+    this->lifecycle.stopped.connect([this] {
+        this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
+        this->loop.post([this] { this->loop.stop(); });
+    });
+}
+
+auto GatewayNode::connectKnowledge() -> void
+{
     this->shared.traffic.changed.connect([this](const TrafficInForce& inForce) {
         if (inForce.table)
             this->callers.setLimits(inForce.table->configuration().limits);
@@ -86,14 +99,6 @@
         this->registry.leaderRevisionReceived(newest, moment);
         this->leadership.leaderAnswered(term);
     });
-    this->lifecycle.stopBegan.connect([this] {
-        this->leadership.resign();
-        this->forwarding.answerBefore(this->lifecycle.answersDue());
-    });
-    this->lifecycle.stopped.connect([this] {
-        this->log.write(Event::NodeStopped, { { "node", this->settings.id } });
-        this->loop.post([this] { this->loop.stop(); });
-    });
 }
 
 auto GatewayNode::begin() -> std::error_code
--- a/src/gateway/gatewaynode.h
+++ b/src/gateway/gatewaynode.h
@@ -72,6 +72,9 @@
 
 private:
     auto beginListening() -> std::error_code;
+
+    /** Connects the controllers that follow the store with those that confirm or restore what it holds. */
+    auto connectKnowledge() -> void;
     auto answerOperator(const std::shared_ptr<HttpExchange>&) -> void;
     auto sampleClock() -> void;
     [[nodiscard]] auto dumpState() const -> nlohmann::json;
