Load: Left out services with more than 192 servers

Change: no loads and rooms of such services in answers, no holding of their requests, no shares of zones for them, so that they are served as before. A node that is alone shares out slots however few, as it knows all requests.

--- a/src/gateway/admissioncontroller.cpp
+++ b/src/gateway/admissioncontroller.cpp
@@ -97,9 +97,15 @@
     return limit.openRequests && static_cast<double>(service.openRequests + 1) > *limit.openRequests;
 }
 
+auto AdmissionController::isHeldFor(const Service& service, TimePoint now) -> bool
+{
+    return service.servers <= maxSharedServers && service.estimate.isMeasured(now);
+}
+
 auto AdmissionController::isDivisible(const Service& service) const -> bool
 {
-    return service.slots >= minSlotsPerNode * static_cast<std::int64_t>(this->nodeCount);
+    // A node that is alone sends all requests of the service itself.
+    return this->nodeCount == 1 || service.slots >= minSlotsPerNode * static_cast<std::int64_t>(this->nodeCount);
 }
 
 auto AdmissionController::hasRoom(const Service& service, const BackendServer& server, TimePoint now) const -> bool
@@ -119,7 +125,7 @@
         return;
     const auto& name = request.service->name;
     const auto found = this->services.find(name);
-    if (found == this->services.end() || !found->second.estimate.isMeasured(now))
+    if (found == this->services.end() || !isHeldFor(found->second, now))
         return;
     auto& service = found->second;
     // Requests that wait already go first.
@@ -174,7 +180,7 @@
 auto AdmissionController::hold(const ForwardRequest& request, const Candidates& suitable, TimePoint now) -> RoomDecision
 {
     const auto found = this->services.find(request.service->name);
-    if (!this->isEnabled() || suitable.empty() || found == this->services.end() || !found->second.estimate.isMeasured(now))
+    if (!this->isEnabled() || suitable.empty() || found == this->services.end() || !isHeldFor(found->second, now))
         return {};
     // advance() adds a request again that it could not start.
     if (this->trying == request.id || this->queue.contains(request.id))
--- a/src/gateway/admissioncontroller.h
+++ b/src/gateway/admissioncontroller.h
@@ -124,6 +124,9 @@
 
     auto serviceOf(const std::string& name) -> Service&;
     auto limitOf(const std::string& name, Service&, TimePoint now) -> RoomLimit;
+    /** Returns whether requests of the service may be held: its times are measured, and it has no more servers than nodes share the load of. */
+    [[nodiscard]] static auto isHeldFor(const Service&, TimePoint now) -> bool;
+
     /** Returns whether the service has enough slots for each node to have a part of them. */
     [[nodiscard]] auto isDivisible(const Service&) const -> bool;
     [[nodiscard]] auto hasRoom(const Service&, const BackendServer&, TimePoint now) const -> bool;
--- a/src/gateway/overflowcontroller.cpp
+++ b/src/gateway/overflowcontroller.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <utility>
 
 using namespace std::chrono_literals;
@@ -199,7 +200,11 @@
     std::erase_if(rooms, [&service](const auto& room) { return room.service != service; });
     const auto& table = this->board.traffic.value().table;
     const auto* entry = table ? table->service(service) : nullptr;
-    return rooms.empty() && entry ? estimateRooms(*entry, this->board.backendServers.value(), this->coordination.nodes(), this->policy.shares(), now) : rooms;
+    if (rooms.empty() && entry)
+        rooms = estimateRooms(*entry, this->board.backendServers.value(), this->coordination.nodes(), this->policy.shares(), now);
+    const auto servers = std::accumulate(rooms.begin(), rooms.end(), std::int64_t { 0 }, [](std::int64_t sum, const auto& room) { return sum + room.servers; });
+    // The load of larger services is not shared, and an estimate of it would move their prompts for nothing.
+    return servers > maxSharedServers ? std::vector<ZoneRoom>() : rooms;
 }
 
 auto OverflowController::dumpState() const -> nlohmann::json
--- a/src/load/backendload.h
+++ b/src/load/backendload.h
@@ -7,6 +7,12 @@
 
 namespace Primrosefork {
 
+/**
+ * Live servers of a service up to which nodes share its load and hold its requests. The leader lists 48 servers at most, and a choice among
+ * more than four times as many would rest on a small and late part of their load.
+ */
+constexpr std::int64_t maxSharedServers = 192;
+
 /** The load that one node, or several nodes together, put on a backend server. */
 struct BackendLoad {
     std::uint32_t server = 0; ///< Key of the server, see loadKeyOf().
--- a/src/load/loadaccount.cpp
+++ b/src/load/loadaccount.cpp
@@ -105,6 +105,8 @@
         const auto service = this->serviceByKey.find(key);
         if (service == this->serviceByKey.end())
             continue;
+        if (this->totals[service->second].servers > maxSharedServers)
+            continue;
         const auto excess = loadCost({ key, load.openRequests, load.pendingPrefillTokens }) - this->totals[service->second].meanCost();
         if (excess > 0)
             above.emplace_back(excess, key);
@@ -143,6 +145,8 @@
     this->zoneRooms.clear();
     for (auto& [key, room] : rooms) {
         const auto total = this->totals.find(room.service);
+        if (total != this->totals.end() && total->second.servers > maxSharedServers)
+            continue;
         if (total != this->totals.end())
             total->second.requestsPerSecond += room.requestsPerSecond;
         this->zoneRooms.push_back(std::move(room));
@@ -205,6 +209,8 @@
     }
     std::vector<MeanLoad> means;
     for (const auto& [service, total] : this->totals) {
+        if (total.servers > maxSharedServers)
+            continue;
         // The total is that of the last update, and the node may have more load since.
         const auto& ownTotal = own[service];
         const auto count = static_cast<double>(total.servers);
--- a/tests/load/test_loadaccount.cpp
+++ b/tests/load/test_loadaccount.cpp
@@ -1,5 +1,6 @@
 #include "loadaccount.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <functional>
 
@@ -176,7 +177,10 @@
     loads.reserve(100);
     for (int index = 0; index < 100; ++index)
         loads.push_back(at("llm" + std::to_string(index), 10 + index));
-    auto account = makeAccount(makeServers(200), loads);
+    const auto tooMany = makeAccount(makeServers(maxSharedServers + 1), loads);
+    CHECK(tooMany.listedCount() == 0);
+    CHECK(std::none_of(tooMany.rooms().begin(), tooMany.rooms().end(), [](const auto& room) { return room.service == "llm"; }));
+    auto account = makeAccount(makeServers(maxSharedServers), loads);
     CHECK(account.listedCount() == LoadAccount::maxBusiestServers);
     CHECK(account.busiest("llm").front() == at("llm63", 292));
     keepLargest(loads, LoadAccount::maxReportedServers);
