--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -479,8 +479,6 @@
 
     std::function<bool(const Message&)> isRefused; ///< Asked for each call; a call for which it returns true gets 503.
 
-    auto lastCall() const -> void { }
-
     Listener listener;
 
 private:
