--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -1,4 +1,4 @@
-#include "gatewayfixture.h"
+#include "serverpairfixture.h"
 #include "units.h"
 
 #include <doctest/doctest.h>
@@ -9,29 +9,9 @@
 
 namespace {
 
-using Script = ScriptedServer::Script;
-
 constexpr int firstPort = 18321;
-constexpr int secondPort = 18322;
 constexpr std::size_t responseLimit = 8 * mebibyte;
 
-/** A node with two servers of one service; the first request gets the answer of \a first, all others that of \a later. */
-struct EndFixture : GatewayFixture {
-    EndFixture(const std::string& service, const Script& first, const Script& later)
-    {
-        const Script script = [this, first, later](const std::string& request) { return this->requestCount++ == 0 ? first(request) : later(request); };
-        this->configure(1);
-        for (const auto port : { firstPort, secondPort }) {
-            this->servers.push_back(std::make_unique<ScriptedServer>(this->loop, Address { "127.0.0.1", static_cast<std::uint16_t>(port) }, script));
-            this->registerServer("i-" + std::to_string(port), service, port);
-        }
-        REQUIRE(this->start());
-    }
-
-    int requestCount = 0;
-    std::vector<std::unique_ptr<ScriptedServer>> servers;
-};
-
 auto ownHead(const std::string& request, const std::string& status = "200") -> std::string
 {
     return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n";
@@ -108,7 +88,7 @@
         const auto first = [&row](const std::string& request) -> ScriptedAnswer {
             return { ownHead(request) + "Content-Type: text/event-stream\r\n\r\n" + row.events, true, row.end == End::Reset };
         };
-        EndFixture fixture("llm", first, restOfStream);
+        ServerPairFixture fixture("llm", first, restOfStream);
         RawCaller caller(fixture.loop, fixture.settings.callers);
         caller.send(GatewayFixture::makeRequest(row.prefix, "r1"));
         CHECK(fixture.runUntil([&] { return caller.isClosed || isWhole(caller.received); }, 4s));
@@ -147,7 +127,7 @@
     for (const auto& row : bodyEndCases) {
         CAPTURE(std::string(row.name));
         const auto first = [&row](const std::string& request) -> ScriptedAnswer { return { ownHead(request) + "\r\n" + row.body, true, row.end == End::Reset }; };
-        EndFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+        ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
         const auto answer = fixture.sendRequest(GatewayFixture::makeRequest(row.prefix, "r1"));
         CHECK(answer.starts_with(row.status));
         CHECK(isWhole(answer));
@@ -178,7 +158,7 @@
         CAPTURE(std::string(row.name));
         const auto isChunked = std::string(row.lines).starts_with("Transfer-Encoding");
         const auto first = [&](const std::string& request) -> ScriptedAnswer { return { ownHead(request, row.status) + row.lines + "\r\n" + (isChunked ? "0\r\n\r\n" : ""), true }; };
-        EndFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+        ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
         const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"));
         CHECK(answer.starts_with(row.isWhole ? "HTTP/1.1 " + std::string(row.status) : "HTTP/1.1 502"));
         CHECK(fixture.requestCount == 1);
@@ -285,7 +265,7 @@
 {
     for (const auto& row : largeBodyCases) {
         CAPTURE(std::string(row.name));
-        EndFixture fixture(
+        ServerPairFixture fixture(
             "app", [&row](const std::string& request) { return largeAnswer(request, row); },
             [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
         const auto answer = fixture.sendRequest(GatewayFixture::makeRequest(row.prefix, "r1"));
