Http: Rejected responses whose status or version is none

The same with 099, 1, 20 and 101. Statuses of four digits (0200), above 599 and after two spaces, versions 0.9, 2.0 and 9.1, and HTXP in place of HTTP were passed on as answers (600 and 999 as that status).

Cause: http_parser, as Debian builds it, reads any number up to 999 as a status and any two digits as a version, and compares only the first letter of the protocol's name. BackendConnection takes every status below 200 for an interim answer and goes on waiting.

Change: ResponseSyntax reads the status line before the parser does and accepts HTTP/1.x and three digits from 100 to 599. 101 is no valid answer either, as no request asks for another protocol. The attempt then ends like any other with bytes that are not HTTP: as lost, at once, with its connection; another attempt where the route may repeat, else 502.

Why it works: the line is judged before any byte of the head reaches the parser, so that nothing of it can be reported. Handled before, rows kept: a letter in the status, a sign, a tab, no status, version 2, 1.10, 1,1, 1.x, no version, small letters, other protocols.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -65,6 +65,7 @@
 {
     http_parser_init(this->parser.get(), this->kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     this->parser->data = this;
+    this->syntax.reset();
     this->current = {};
     this->fieldName.clear();
     this->fieldValue.clear();
@@ -77,6 +78,14 @@
 }
 
 auto MessageParser::feed(std::string_view bytes, std::size_t& consumed) -> ParseResult
+{
+    consumed = 0;
+    if (this->kind == Kind::Response && !this->isHeadComplete)
+        this->syntax.checkHead(bytes);
+    return this->syntax.isMalformed() ? ParseResult::Malformed : this->parse(bytes, consumed);
+}
+
+auto MessageParser::parse(std::string_view bytes, std::size_t& consumed) -> ParseResult
 {
     const auto wasHeadWhole = this->isHeadComplete;
     consumed = http_parser_execute(this->parser.get(), &settings(), bytes.data(), bytes.size());
@@ -97,7 +106,7 @@
     if (!this->isHeadComplete || this->isMessageComplete)
         return this->isMessageComplete;
     std::size_t consumed = 0;
-    return this->feed({}, consumed) == ParseResult::Complete;
+    return this->parse({}, consumed) == ParseResult::Complete;
 }
 
 auto MessageParser::addHeaderField(std::string_view text) -> void
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpmessage.h"
+#include "responsesyntax.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -76,6 +77,7 @@
 private:
     static auto settings() -> const http_parser_settings&;
     static auto self(http_parser*) -> MessageParser*;
+    auto parse(std::string_view bytes, std::size_t& consumed) -> ParseResult;
     auto addHeaderField(std::string_view) -> void;
     auto addHeaderValue(std::string_view) -> void;
     auto flushHeader() -> void;
@@ -85,6 +87,7 @@
     ParseHandlers handlers;
     std::size_t maxHeadBytes;
     std::unique_ptr<http_parser> parser;
+    ResponseSyntax syntax; ///< Used for responses.
     MessageHead current;
     std::string fieldName;
     std::string fieldValue;
--- a/tests/http/test_messageparser.cpp
+++ b/tests/http/test_messageparser.cpp
@@ -99,6 +99,12 @@
     { "chunked body without the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", ParseResult::NeedsMore, false, true },
     { "Connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab", ParseResult::Complete, false, false },
     { "bytes that are not HTTP", "ab HTTP", ParseResult::Malformed, false, false },
+    { "status 000", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Malformed, false, false },
+    { "status above 599", "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Malformed, false, false },
+    { "status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Malformed, false, false },
+    { "another major version", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Malformed, false, false },
+    { "another minor version", "HTTP/1.2 200 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Complete, false, true },
+    { "no reason", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", ParseResult::Complete, false, true },
 };
 
 TEST_CASE("responses are parsed, and malformed responses are rejected")
@@ -113,4 +119,29 @@
     }
 }
 
+TEST_CASE("a response is parsed alike whole and byte by byte")
+{
+    for (const auto& row : responseCases) {
+        CAPTURE(row.name);
+        std::string body;
+        MessageParser parser(MessageParser::Kind::Response, { [](const MessageHead&) {}, [&](std::string_view piece) { body += piece; } }, headLimit);
+        auto result = ParseResult::NeedsMore;
+        for (std::size_t place = 0; place < row.bytes.size() && result == ParseResult::NeedsMore; ++place) {
+            std::size_t consumed = 0;
+            result = parser.feed(std::string_view(row.bytes).substr(place, 1), consumed);
+        }
+        CHECK(result == row.result);
+        CHECK(body == parse(MessageParser::Kind::Response, row.bytes).body);
+    }
+}
+
+TEST_CASE("the head of a malformed response is not reported")
+{
+    for (const auto& row : responseCases) {
+        CAPTURE(row.name);
+        const auto isHeadMalformed = row.result == ParseResult::Malformed && !row.keepsAlive;
+        CHECK((parse(MessageParser::Kind::Response, row.bytes).head.status == 0) == isHeadMalformed);
+    }
+}
+
 } // namespace
