Http: Rejected responses with a broken field name before any of their head is passed on

Beside it: a carriage return that no line feed follows ended the head, and the body that callers got as whole began with bytes of the head; a control byte in the reason went unnoticed.

Cause: http_parser, as Debian builds it, takes a blank for a part of a name and any byte for the line feed of the empty line. MessageParser noticed a blank, but only after it had reported the head, with which a stream begins when its first event comes in the same bytes.

Change: ResponseSyntax reads the whole head, up to its empty line, before the parser does: names are tokens, values and reasons text. The parser reports no head with an invalid name either, so that a caller's malformed request is not told to continue.

Why it works: the parser gets no byte from the broken one on, thus never the end of such a head. Handled before, rows kept: control, zero and delete bytes, tabs, separators and bytes above ASCII in names, empty names, lines without a colon, control bytes in values. Folded values, bare line feeds and empty reasons are passed on as before.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -10,6 +10,7 @@
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 constexpr int skipBody = 1; ///< Returned from on_headers_complete for a message without a body.
+constexpr int rejectHead = -1; ///< Returned from on_headers_complete for a malformed head.
 
 } // namespace
 
@@ -141,6 +142,8 @@
     if (this->isHeadComplete)
         return 0; // Ignores a second call, after the trailers of a chunked body.
     this->flushHeader();
+    if (this->hasInvalidName)
+        return rejectHead;
     this->isHeadComplete = true;
     if (this->kind == Kind::Request)
         this->current.method = http_method_str(static_cast<http_method>(this->parser->method));
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -43,7 +43,8 @@
  * Reads HTTP/1.1 messages from the bytes of one connection, one at a time.
  *
  * A message with an ambiguous length, which another HTTP implementation could
- * read differently, is malformed.
+ * read differently, is malformed. The head of a malformed message is not reported
+ * unless the error stands behind it.
  */
 class MessageParser {
 public:
--- a/src/http/responsesyntax.cpp
+++ b/src/http/responsesyntax.cpp
@@ -1,5 +1,6 @@
 #include "responsesyntax.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace Primrosefork {
@@ -18,14 +19,63 @@
     return byte >= '0' && byte <= '9';
 }
 
+auto isLetter(char byte) -> bool
+{
+    return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+}
+
+/** Returns whether \a byte may stand in the name of a field. */
+auto isTokenByte(char byte) -> bool
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return isLetter(byte) || isDigit(byte) || marks.find(byte) != std::string_view::npos;
+}
+
+/** Returns whether \a byte may stand in a value or a reason phrase. */
+auto isTextByte(char byte) -> bool
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteByte = 0x7f;
+    const auto code = static_cast<unsigned char>(byte);
+    return byte == '\t' || (code >= firstPrintable && code != deleteByte);
+}
+
 } // namespace
 
-auto ResponseSyntax::checkHead(std::string_view bytes) -> void
+auto ResponseSyntax::checkHead(std::string_view bytes) -> std::size_t
+{
+    std::size_t count = 0;
+    while (count < bytes.size() && this->state != State::Complete && this->state != State::Malformed)
+        this->state = this->headStateAfter(bytes[count++]);
+    return this->isMalformed() ? count - std::min<std::size_t>(count, 1) : count;
+}
+
+auto ResponseSyntax::headStateAfter(char byte) -> State
 {
-    for (const auto byte : bytes) {
-        if (this->state != State::StatusLine)
-            return;
-        this->state = this->statusLineStateAfter(byte);
+    switch (this->state) {
+    case State::StatusLine:
+        return this->statusLineStateAfter(byte);
+    case State::Reason:
+    case State::FieldValue:
+        if (byte == '\r')
+            return State::LineEnd;
+        if (byte == '\n')
+            return State::LineStart;
+        return isTextByte(byte) ? this->state : State::Malformed;
+    case State::LineStart:
+        return this->lineStartStateAfter(byte);
+    case State::FieldName:
+        if (byte == ':') {
+            this->hasLines = true;
+            return State::FieldValue;
+        }
+        return isTokenByte(byte) ? State::FieldName : State::Malformed;
+    case State::LineEnd:
+        return byte == '\n' ? State::LineStart : State::Malformed;
+    case State::FieldsEnd:
+        return byte == '\n' ? State::Complete : State::Malformed;
+    default:
+        return State::Malformed;
     }
 }
 
@@ -46,7 +96,22 @@
     }
     if (this->status < lowestStatus || this->status > highestStatus || this->status == statusSwitchingProtocols)
         return State::Malformed;
-    return byte == ' ' || isLineEnd ? State::Fields : State::Malformed;
+    if (byte == ' ')
+        return State::Reason;
+    if (isLineEnd)
+        return byte == '\r' ? State::LineEnd : State::LineStart;
+    return State::Malformed;
+}
+
+auto ResponseSyntax::lineStartStateAfter(char byte) const -> State
+{
+    if (byte == '\r')
+        return State::FieldsEnd;
+    if (byte == '\n')
+        return State::Complete;
+    if (byte == ' ' || byte == '\t')
+        return this->hasLines ? State::FieldValue : State::Malformed;
+    return isTokenByte(byte) ? State::FieldName : State::Malformed;
 }
 
 } // namespace Primrosefork
--- a/src/http/responsesyntax.h
+++ b/src/http/responsesyntax.h
@@ -7,33 +7,42 @@
 namespace Primrosefork {
 
 /**
- * Checks the status line of one HTTP/1.1 response against the syntax of RFC 9112.
+ * Checks the head of one HTTP/1.1 response against the syntax of RFC 9112.
  *
- * The library that parses messages accepts more: any number as a status and any
- * version.
+ * The library that parses messages accepts more: any number as a status, any
+ * version and blanks in the names of fields.
  */
 class ResponseSyntax {
 public:
     /** Prepares for the next response. */
     auto reset() -> void { *this = {}; }
 
-    /** Checks \a bytes of the head. */
-    auto checkHead(std::string_view bytes) -> void;
+    /** Checks \a bytes of the head and returns how many of them belong to it, up to the first one that breaks the syntax. */
+    auto checkHead(std::string_view bytes) -> std::size_t;
 
     [[nodiscard]] auto isMalformed() const -> bool { return this->state == State::Malformed; }
 
 private:
     enum class State : std::uint8_t {
         StatusLine,
-        Fields,
+        Reason,
+        LineStart, ///< At the first byte of a field line or of the empty line after the last one.
+        FieldName,
+        FieldValue,
+        LineEnd, ///< After the carriage return of a line.
+        FieldsEnd, ///< After the carriage return of the empty line.
+        Complete,
         Malformed,
     };
 
+    auto headStateAfter(char) -> State;
     auto statusLineStateAfter(char) -> State;
+    [[nodiscard]] auto lineStartStateAfter(char) const -> State;
 
     State state = State::StatusLine;
     std::size_t position = 0; ///< Number of bytes read of the status line, up to the end of the status.
     int status = 0;
+    bool hasLines = false; ///< Whether a field line was read, which the next line may continue.
 };
 
 } // namespace Primrosefork
--- a/tests/gateway/test_brokenheads.cpp
+++ b/tests/gateway/test_brokenheads.cpp
@@ -57,6 +57,7 @@
     { "no status", "HTTP/1.1\r\n" },
     { "no status, with a reason", "HTTP/1.1 OK\r\n" },
     { "another protocol, which was not asked for", "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n" },
+    { "a reason with a control byte", "HTTP/1.1 200 X\x01\r\n" },
 };
 
 const HeadCase versionCases[] = {
@@ -74,6 +75,32 @@
     { "no start line", "" },
 };
 
+const HeadCase nameCases[] = {
+    { "blank in the first name", goodStart, "X Blank: 1\r\n" },
+    { "blank in the last name", goodStart, "", "X Blank: 1\r\n" },
+    { "blank before the first colon", goodStart, "X-Blank : 1\r\n" },
+    { "blank before the last colon", goodStart, "", "X-Blank : 1\r\n" },
+    { "tab in the first name", goodStart, "X\tTab: 1\r\n" },
+    { "tab in the last name", goodStart, "", "X\tTab: 1\r\n" },
+    { "control byte in the first name", goodStart, "X\x01Key: 1\r\n" },
+    { "control byte in the last name", goodStart, "", "X\x01Key: 1\r\n" },
+    { "zero byte in the last name", goodStart, "", std::string("X\0Zero: 1\r\n", 11) },
+    { "carriage return in the last name", goodStart, "", "X\rReturn: 1\r\n" },
+    { "delete byte in the last name", goodStart, "", "X\x7f: 1\r\n" },
+    { "byte above ASCII in the last name", goodStart, "", "X\xe9: 1\r\n" },
+    { "separator in the last name", goodStart, "", "X(Y): 1\r\n" },
+    { "empty first name", goodStart, ": 1\r\n" },
+    { "empty last name", goodStart, "", ": 1\r\n" },
+    { "first line without a colon", goodStart, "X-Line\r\n" },
+    { "last line without a colon", goodStart, "", "X-Line\r\n" },
+    { "blank before the first name", goodStart, " X-First: 1\r\n" },
+    { "blank in the name of a second length", goodStart, "Content-Length : 3\r\n" },
+    { "control byte in the last value", goodStart, "", "X-Value: a\x01z\r\n" },
+    { "zero byte in the last value", goodStart, "", std::string("X-Value: a\0z\r\n", 14) },
+    { "carriage return in the last value", goodStart, "", "X-Value: a\rz\r\n" },
+    { "carriage return before the end of the head", goodStart, "", "\rX" },
+};
+
 /** Returns an answer to \a request with the head of \a row, after which the connection stays open. */
 auto makeAnswer(const std::string& request, const HeadCase& row, bool isStream, bool hasOwnFraming) -> std::string
 {
@@ -102,9 +129,10 @@
 const HeadGroup headGroups[] = {
     { statusCases, false },
     { versionCases, false },
+    { nameCases, false },
 };
 
-// Guards against an answer whose status or version are none being passed on, or taken for an interim one and waited for.
+// Guards against an answer whose status, version or field names are none being passed on, or taken for an interim one and waited for.
 TEST_CASE("an answer with a broken head ends its attempt at once and is not passed on")
 {
     for (const auto& group : headGroups) {
@@ -127,7 +155,7 @@
 
 TEST_CASE("a broken head is found when it comes byte by byte")
 {
-    for (const auto& row : { statusCases[0], versionCases[1] }) {
+    for (const auto& row : { statusCases[0], versionCases[1], nameCases[1] }) {
         CAPTURE(std::string(row.name));
         const auto first = [&row](const std::string& request) -> ScriptedAnswer {
             ScriptedAnswer answer;
--- a/tests/http/test_messageparser.cpp
+++ b/tests/http/test_messageparser.cpp
@@ -105,6 +105,9 @@
     { "another major version", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Malformed, false, false },
     { "another minor version", "HTTP/1.2 200 OK\r\nContent-Length: 0\r\n\r\n", ParseResult::Complete, false, true },
     { "no reason", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", ParseResult::Complete, false, true },
+    { "space in the last name", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX Y: 1\r\n\r\n", ParseResult::Malformed, false, false },
+    { "control byte in a value", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: a\x01z\r\n\r\n", ParseResult::Malformed, false, false },
+    { "value on two lines", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: a\r\n b\r\n\r\n", ParseResult::Complete, false, true },
 };
 
 TEST_CASE("responses are parsed, and malformed responses are rejected")
