Http: Rejected responses whose chunks or transfer coding don't tell where they end

What callers saw: a 200 with a whole body although the engine's chunks were broken: other bytes, or only line feeds, in place of the line end after a chunk, another byte for the line feed after a size or after the last line, a blank in the name of a trailer. With a transfer coding other than chunks the answer was taken for one that ends with its connection: callers waited, on streams they got coded bytes as events.

Cause: http_parser, as Debian builds it, takes any bytes for those line ends, trailers were not looked at, and a coding that does not end in chunks was read as no coding.

Change: ResponseSyntax reads the sizes, line ends and trailers of a chunked body as well; the parser gets the bytes up to the first broken one. A transfer coding other than chunks alone is a malformed head. A response whose lines around chunks exceed the library's limit ends as too large rather than as truncated.

Why it works: a response is complete only when both readers have found its end at the same byte; before it, the attempt ends as truncated, which breaks a stream off. Handled before, rows kept: sizes with a sign, a prefix, a control byte or none, chunks longer or shorter than their size, trailers without a colon; different, signed, empty, listed or huge lengths, a length beside chunks.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -1,6 +1,8 @@
 #include "messageparser.h"
 
+#include <algorithm>
 #include <http_parser.h>
+#include <strings.h>
 #include <utility>
 
 namespace Primrosefork {
@@ -12,6 +14,15 @@
 constexpr int skipBody = 1; ///< Returned from on_headers_complete for a message without a body.
 constexpr int rejectHead = -1; ///< Returned from on_headers_complete for a malformed head.
 
+/** Returns whether \a header names a transfer coding other than chunks alone. */
+auto isUnknownCoding(const HttpHeader& header) -> bool
+{
+    if (strcasecmp(header.name.c_str(), "Transfer-Encoding") != 0)
+        return false;
+    const auto coding = header.value.substr(0, header.value.find_last_not_of(" \t") + 1);
+    return strcasecmp(coding.c_str(), "chunked") != 0;
+}
+
 } // namespace
 
 MessageParser::MessageParser(Kind kind, ParseHandlers handlers, std::size_t maxHeadBytes)
@@ -79,11 +90,27 @@
 }
 
 auto MessageParser::feed(std::string_view bytes, std::size_t& consumed) -> ParseResult
+{
+    return this->kind == Kind::Response ? this->feedResponse(bytes, consumed) : this->parse(bytes, consumed);
+}
+
+auto MessageParser::feedResponse(std::string_view bytes, std::size_t& consumed) -> ParseResult
 {
     consumed = 0;
-    if (this->kind == Kind::Response && !this->isHeadComplete)
-        this->syntax.checkHead(bytes);
-    return this->syntax.isMalformed() ? ParseResult::Malformed : this->parse(bytes, consumed);
+    if (!this->isHeadComplete) {
+        const auto headSize = this->syntax.checkHead(bytes);
+        if (this->syntax.isMalformed())
+            return ParseResult::Malformed;
+        const auto result = this->parse(bytes.substr(0, headSize), consumed);
+        if (result != ParseResult::NeedsMore || headSize == bytes.size())
+            return result;
+    }
+    const auto body = bytes.substr(consumed);
+    const auto bodySize = this->isChunked() ? this->syntax.checkChunks(body) : body.size();
+    std::size_t bodyConsumed = 0;
+    const auto result = bodySize > 0 ? this->parse(body.substr(0, bodySize), bodyConsumed) : ParseResult::NeedsMore;
+    consumed += bodyConsumed;
+    return result == ParseResult::NeedsMore && bodySize < body.size() ? ParseResult::Malformed : result;
 }
 
 auto MessageParser::parse(std::string_view bytes, std::size_t& consumed) -> ParseResult
@@ -97,7 +124,10 @@
         return ParseResult::Malformed;
     if (this->isMessageComplete && (error == HPE_PAUSED || error == HPE_OK))
         return ParseResult::Complete;
-    if (!this->isHeadComplete && (this->headBytes > this->maxHeadBytes || error == HPE_HEADER_OVERFLOW))
+    // The library limits the lines around chunks as well.
+    if (error == HPE_HEADER_OVERFLOW && (!this->isHeadComplete || this->kind == Kind::Response))
+        return ParseResult::HeadTooLarge;
+    if (!this->isHeadComplete && this->headBytes > this->maxHeadBytes)
         return ParseResult::HeadTooLarge;
     return error == HPE_OK ? ParseResult::NeedsMore : ParseResult::Malformed;
 }
@@ -142,7 +172,8 @@
     if (this->isHeadComplete)
         return 0; // Ignores a second call, after the trailers of a chunked body.
     this->flushHeader();
-    if (this->hasInvalidName)
+    const auto& headers = this->current.headers;
+    if (this->hasInvalidName || (this->kind == Kind::Response && std::any_of(headers.begin(), headers.end(), isUnknownCoding)))
         return rejectHead;
     this->isHeadComplete = true;
     if (this->kind == Kind::Request)
@@ -151,12 +182,16 @@
         this->current.status = static_cast<int>(this->parser->status_code);
     this->parser->upgrade = 0; // Protocol upgrades are not supported, so the message is parsed like any other.
     this->current.keepsAlive = http_should_keep_alive(this->parser.get()) != 0;
-    const auto hasContentLength = (this->parser->flags & F_CONTENTLENGTH) != 0;
-    const auto isChunked = (this->parser->flags & F_CHUNKED) != 0;
     const auto hasNoBody = this->isBodiless || this->current.status == statusNoContent || this->current.status == statusNotModified;
-    this->current.hasLength = hasNoBody || hasContentLength || isChunked;
+    const auto hasContentLength = (this->parser->flags & F_CONTENTLENGTH) != 0;
+    this->current.hasLength = hasNoBody || hasContentLength || this->isChunked();
     this->handlers.onHead(this->current);
     return this->isBodiless ? skipBody : 0;
 }
 
+auto MessageParser::isChunked() const -> bool
+{
+    return (this->parser->flags & F_CHUNKED) != 0;
+}
+
 } // namespace Primrosefork
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -30,7 +30,7 @@
     NeedsMore, ///< All bytes were consumed and the message is not complete yet.
     Complete, ///< The message is complete; bytes that were not consumed belong to the next one.
     Malformed,
-    HeadTooLarge,
+    HeadTooLarge, ///< The head exceeds its limit, or a line between the chunks of a response does.
 };
 
 /** Callbacks of a parser. */
@@ -78,11 +78,13 @@
 private:
     static auto settings() -> const http_parser_settings&;
     static auto self(http_parser*) -> MessageParser*;
+    auto feedResponse(std::string_view bytes, std::size_t& consumed) -> ParseResult;
     auto parse(std::string_view bytes, std::size_t& consumed) -> ParseResult;
     auto addHeaderField(std::string_view) -> void;
     auto addHeaderValue(std::string_view) -> void;
     auto flushHeader() -> void;
     auto headCompleted() -> int;
+    [[nodiscard]] auto isChunked() const -> bool;
 
     Kind kind;
     ParseHandlers handlers;
--- a/src/http/responsesyntax.h
+++ b/src/http/responsesyntax.h
@@ -7,10 +7,10 @@
 namespace Primrosefork {
 
 /**
- * Checks the head of one HTTP/1.1 response against the syntax of RFC 9112.
+ * Checks the bytes of one HTTP/1.1 response against the syntax of RFC 9112.
  *
  * The library that parses messages accepts more: any number as a status, any
- * version and blanks in the names of fields.
+ * version, blanks in the names of fields and any bytes after a chunk.
  */
 class ResponseSyntax {
 public:
@@ -20,6 +20,9 @@
     /** Checks \a bytes of the head and returns how many of them belong to it, up to the first one that breaks the syntax. */
     auto checkHead(std::string_view bytes) -> std::size_t;
 
+    /** Checks \a bytes of a chunked body and returns how many of them belong to it, up to the first one that breaks the syntax. */
+    auto checkChunks(std::string_view bytes) -> std::size_t;
+
     [[nodiscard]] auto isMalformed() const -> bool { return this->state == State::Malformed; }
 
 private:
@@ -31,6 +34,13 @@
         FieldValue,
         LineEnd, ///< After the carriage return of a line.
         FieldsEnd, ///< After the carriage return of the empty line.
+        ChunkSizeStart,
+        ChunkSize,
+        ChunkExtension,
+        ChunkSizeEnd, ///< After the carriage return of the line with the size.
+        ChunkData,
+        ChunkDataReturn, ///< At the carriage return after the data.
+        ChunkDataEnd, ///< After that carriage return.
         Complete,
         Malformed,
     };
@@ -38,11 +48,15 @@
     auto headStateAfter(char) -> State;
     auto statusLineStateAfter(char) -> State;
     [[nodiscard]] auto lineStartStateAfter(char) const -> State;
+    auto chunkStateAfter(char) -> State;
+    auto sizeStateAfter(char) -> State;
 
     State state = State::StatusLine;
     std::size_t position = 0; ///< Number of bytes read of the status line, up to the end of the status.
     int status = 0;
     bool hasLines = false; ///< Whether a field line was read, which the next line may continue.
+    bool isInChunks = false;
+    std::uint64_t chunkLeft = 0; ///< Number of bytes of the chunk that are still to come.
 };
 
 } // namespace Primrosefork
--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -216,6 +216,52 @@
     }
 }
 
+/** A body in chunks that does not follow the syntax of chunks, after which the connection stays open. */
+struct ChunkCase {
+    const char* name;
+    std::string chunks;
+};
+
+const ChunkCase chunkCases[] = {
+    { "other bytes after a chunk", "f\r\nid: 1\ndata: a\n\nXX0\r\n\r\n" },
+    { "line feeds after a chunk", "f\r\nid: 1\ndata: a\n\n\n\n0\r\n\r\n" },
+    { "a chunk that is longer than its size", "d\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "a chunk that is shorter than its size", "11\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "another byte at the end of a size", "f\rXid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "no size", "\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "a size with a sign", "+f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "a size with a prefix", "0xf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "a size above every number", "fffffffffffffffff\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" },
+    { "a control byte after a size", std::string("f\0\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", 26) },
+    { "a blank in the name of a trailer", "f\r\nid: 1\ndata: a\n\n\r\n0\r\nX Blank: 1\r\n\r\n" },
+    { "a trailer without a colon", "f\r\nid: 1\ndata: a\n\n\r\n0\r\nX-Line\r\n\r\n" },
+    { "another byte at the end of the last line", "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\rX" },
+};
+
+// Guards against a body whose end is not where its chunks say being passed on as a whole one.
+TEST_CASE("an answer with broken chunks ends its attempt at once and does not look whole")
+{
+    constexpr auto earlyEnd = 1s; // The timeout of the routes is 3 s.
+    for (const auto& row : chunkCases) {
+        for (const auto* prefix : { "/once/", "/read/", "/stream/" }) {
+            CAPTURE(std::string(row.name));
+            CAPTURE(std::string(prefix));
+            const std::string route(prefix);
+            const std::string type = route == "/stream/" ? "Content-Type: text/event-stream\r\n" : "";
+            const auto first = [&](const std::string& request) -> ScriptedAnswer { return { ownHead(request) + type + "Transfer-Encoding: chunked\r\n\r\n" + row.chunks }; };
+            ServerPairFixture fixture(route == "/stream/" ? "llm" : "app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+            RawCaller caller(fixture.loop, fixture.settings.callers);
+            caller.send(GatewayFixture::makeRequest(prefix, "r1"));
+            CHECK(fixture.runUntil([&] { return caller.isClosed || isWhole(caller.received); }, earlyEnd));
+            const auto isPassedOn = caller.received.starts_with("HTTP/1.1 200") && isWhole(caller.received);
+            CHECK(isPassedOn == (route == "/read/"));
+            CHECK((route == "/stream/" || bodyOf(caller.received) == (route == "/read/" ? "again" : "")));
+            CHECK(fixture.requestCount == (route == "/read/" ? 2 : 1));
+            CHECK(fixture.runUntil([&] { return fixture.closedCount() == 1; }, earlyEnd));
+        }
+    }
+}
+
 /** The framing of an answer that ends. */
 enum class Framing {
     Length,
--- a/tests/gateway/test_brokenheads.cpp
+++ b/tests/gateway/test_brokenheads.cpp
@@ -101,6 +101,20 @@
     { "carriage return before the end of the head", goodStart, "", "\rX" },
 };
 
+const HeadCase lengthCases[] = {
+    { "two different lengths", goodStart, "Content-Length: 3\r\n", "Content-Length: 4\r\n" },
+    { "length with a sign", goodStart, "Content-Length: +3\r\n" },
+    { "negative length", goodStart, "Content-Length: -3\r\n" },
+    { "empty length", goodStart, "Content-Length:\r\n" },
+    { "length with a letter", goodStart, "Content-Length: 3a\r\n" },
+    { "list of lengths", goodStart, "Content-Length: 13, 13\r\n" },
+    { "length above every number", goodStart, "Content-Length: 99999999999999999999\r\n" },
+    { "length beside chunks", goodStart, "Content-Length: 13\r\n", "Transfer-Encoding: chunked\r\n" },
+    { "unknown transfer coding", goodStart, "Transfer-Encoding: gzip\r\n" },
+    { "unknown transfer coding beside chunks", goodStart, "Transfer-Encoding: gzip, chunked\r\n" },
+    { "chunks that are not the last coding", goodStart, "Transfer-Encoding: chunked, identity\r\n" },
+};
+
 /** Returns an answer to \a request with the head of \a row, after which the connection stays open. */
 auto makeAnswer(const std::string& request, const HeadCase& row, bool isStream, bool hasOwnFraming) -> std::string
 {
@@ -130,9 +144,10 @@
     { statusCases, false },
     { versionCases, false },
     { nameCases, false },
+    { lengthCases, true },
 };
 
-// Guards against an answer whose status, version or field names are none being passed on, or taken for an interim one and waited for.
+// Guards against an answer whose status, version, field names or length are none being passed on, or taken for an interim one and waited for.
 TEST_CASE("an answer with a broken head ends its attempt at once and is not passed on")
 {
     for (const auto& group : headGroups) {
--- a/tests/http/test_messageparser.cpp
+++ b/tests/http/test_messageparser.cpp
@@ -108,6 +108,10 @@
     { "space in the last name", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX Y: 1\r\n\r\n", ParseResult::Malformed, false, false },
     { "control byte in a value", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: a\x01z\r\n\r\n", ParseResult::Malformed, false, false },
     { "value on two lines", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: a\r\n b\r\n\r\n", ParseResult::Complete, false, true },
+    { "unknown transfer coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nab", ParseResult::Malformed, false, false },
+    { "space after the transfer coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked \r\n\r\n0\r\n\r\n", ParseResult::Complete, false, true },
+    { "chunks with extensions and trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1 ;x=y\r\na\r\n00\r\nX: 1\r\n\r\n", ParseResult::Complete, false, true },
+    { "no line end after a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", ParseResult::Malformed, false, true },
 };
 
 TEST_CASE("responses are parsed, and malformed responses are rejected")
