Http: Ended responses without a body at their head

What callers saw: 504 at their deadline, when an engine answered 304 with the length of what it stands for, or 204 with a length or chunks; an interim answer with a length took a part of the answer behind it as its body.

Cause: the parser waited for the body that such a head names, which no response with these statuses has.

Change: a response with status 1xx, 204 or 304 ends with its head.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -11,6 +11,7 @@
 
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int firstFinalStatus = 200;
 constexpr int skipBody = 1; ///< Returned from on_headers_complete for a message without a body.
 constexpr int rejectHead = -1; ///< Returned from on_headers_complete for a malformed head.
 
@@ -182,11 +183,12 @@
         this->current.status = static_cast<int>(this->parser->status_code);
     this->parser->upgrade = 0; // Protocol upgrades are not supported, so the message is parsed like any other.
     this->current.keepsAlive = http_should_keep_alive(this->parser.get()) != 0;
-    const auto hasNoBody = this->isBodiless || this->current.status == statusNoContent || this->current.status == statusNotModified;
+    const auto isInterim = this->kind == Kind::Response && this->current.status < firstFinalStatus;
+    const auto hasNoBody = this->isBodiless || isInterim || this->current.status == statusNoContent || this->current.status == statusNotModified;
     const auto hasContentLength = (this->parser->flags & F_CONTENTLENGTH) != 0;
     this->current.hasLength = hasNoBody || hasContentLength || this->isChunked();
     this->handlers.onHead(this->current);
-    return this->isBodiless ? skipBody : 0;
+    return hasNoBody ? skipBody : 0;
 }
 
 auto MessageParser::isChunked() const -> bool
--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -262,6 +262,43 @@
     }
 }
 
+/** A success that has no body whatever its head says, after which the connection stays open. */
+struct BodilessCase {
+    const char* name;
+    const char* status;
+    const char* lines;
+};
+
+const BodilessCase bodilessCases[] = {
+    { "not modified, with the length of what it stands for", "304", "Content-Length: 500\r\n" },
+    { "no content, with a length", "204", "Content-Length: 5\r\n" },
+    { "no content, with chunks", "204", "Transfer-Encoding: chunked\r\n" },
+};
+
+TEST_CASE("an answer whose status has no body ends with its head")
+{
+    for (const auto& row : bodilessCases) {
+        CAPTURE(std::string(row.name));
+        const auto first = [&](const std::string& request) -> ScriptedAnswer { return { ownHead(request, row.status) + row.lines + "\r\n" }; };
+        ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"), 1s);
+        CHECK(answer.starts_with("HTTP/1.1 " + std::string(row.status)));
+        CHECK(fixture.requestCount == 1);
+    }
+}
+
+// Guards against an interim answer whose length covers a part of the answer that follows.
+TEST_CASE("an interim answer has no body whatever its head says")
+{
+    const auto first = [](const std::string& request) -> ScriptedAnswer {
+        return { "HTTP/1.1 103 X\r\nContent-Length: 40\r\n\r\n" + GatewayFixture::answerTo(request, 200, "hello") };
+    };
+    ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+    const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"), 1s);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(bodyOf(answer) == "hello");
+}
+
 /** The framing of an answer that ends. */
 enum class Framing {
     Length,
--- a/tests/http/test_messageparser.cpp
+++ b/tests/http/test_messageparser.cpp
@@ -112,6 +112,8 @@
     { "space after the transfer coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked \r\n\r\n0\r\n\r\n", ParseResult::Complete, false, true },
     { "chunks with extensions and trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1 ;x=y\r\na\r\n00\r\nX: 1\r\n\r\n", ParseResult::Complete, false, true },
     { "no line end after a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", ParseResult::Malformed, false, true },
+    { "length of a status without a body", "HTTP/1.1 304 OK\r\nContent-Length: 5\r\n\r\n", ParseResult::Complete, false, true },
+    { "interim response with a length", "HTTP/1.1 103 OK\r\nContent-Length: 5\r\n\r\n", ParseResult::Complete, false, true },
 };
 
 TEST_CASE("responses are parsed, and malformed responses are rejected")
