Forwarding: Told a reset from the end of an answer after a failed write

Cause: a socket reports a reset once. When the write meets it first, the read that follows returns 0, as at the end of the stream. libevent hands both to the connection as one event, with the flags of the failed write and of the end of the stream, and the connection looked at the latter only.

Change: the end of the connection is clean only when the event is the end of the stream and nothing else. Ruled out: other orders. A reset that the read meets first is an error there, and a failed write that is handled alone already broke the answer off.

Why it works: an end that comes together with any failure is no end. An early answer without a length whose end and reset are handled in one turn of the loop can't be told from a broken one; it now counts as that.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -97,7 +97,8 @@
         return;
     }
     this->readable();
-    this->connectionEnded((events & BEV_EVENT_EOF) != 0);
+    // A socket reports a reset once: when a write has failed with it, the next read returns the end of the stream.
+    this->connectionEnded(events == (BEV_EVENT_READING | BEV_EVENT_EOF));
 }
 
 auto BackendConnection::readable() -> void
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -11,12 +11,14 @@
 
 namespace {
 
-/** Returns the size in bytes of the first complete request in \a input, or 0 when there is none. */
-auto completeRequestSize(const std::string& input) -> std::size_t
+/** Returns the size in bytes of the first complete request in \a input, or 0 when there is none; with \a isHeadOnly, of its head. */
+auto completeRequestSize(const std::string& input, bool isHeadOnly) -> std::size_t
 {
     const auto end = input.find("\r\n\r\n");
     if (end == std::string::npos)
         return 0;
+    if (isHeadOnly)
+        return end + 4;
     const auto length = headerOf(input.substr(0, end + 2), "Content-Length");
     const auto size = end + 4 + (length.empty() ? 0 : std::stoul(length));
     return input.size() >= size ? size : 0;
@@ -101,13 +103,7 @@
     bufferevent_setcb(
         stream, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->readable(from); },
         [](bufferevent* to, void* self) { static_cast<ScriptedServer*>(self)->written(to); },
-        [](bufferevent* from, short, void* argument) {
-            auto* self = static_cast<ScriptedServer*>(argument);
-            ++self->closedByPeer;
-            self->connections.erase(from);
-            bufferevent_free(from);
-        },
-        this);
+        [](bufferevent* from, short, void* self) { static_cast<ScriptedServer*>(self)->closedByCaller(from); }, this);
     bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
@@ -118,7 +114,9 @@
     const auto size = evbuffer_get_length(buffer);
     input.append(reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1)), size);
     evbuffer_drain(buffer, size);
-    for (auto requestSize = completeRequestSize(input); requestSize > 0; requestSize = completeRequestSize(input)) {
+    if (this->answersHeads && !this->connections[stream].lastRequest.empty())
+        return input.clear();
+    for (auto requestSize = completeRequestSize(input, this->answersHeads); requestSize > 0; requestSize = completeRequestSize(input, this->answersHeads)) {
         this->requests.push_back(input.substr(0, requestSize));
         this->connections[stream].lastRequest = this->requests.back();
         input.erase(0, requestSize);
@@ -141,8 +139,13 @@
         const linger reset { 1, 0 };
         setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     }
-    if (answer.closes)
-        return answer.bytes.empty() ? this->close(stream) : this->closeAfterOutput(stream);
+    if (answer.closes) {
+        connection.closeDelay = answer.closeDelay;
+        connection.readsOn = answer.readsOn;
+        if (this->answersHeads && !answer.readsOn)
+            bufferevent_disable(stream, EV_READ);
+        return answer.bytes.empty() ? this->outputSent(stream) : this->closeAfterOutput(stream);
+    }
     const auto isWaiting = !connection.later.empty();
     connection.later.insert(connection.later.end(), answer.later.begin(), answer.later.end());
     if (isWaiting || connection.later.empty())
@@ -172,7 +175,36 @@
 auto ScriptedServer::closeAfterOutput(bufferevent* stream) -> void
 {
     bufferevent_setcb(
-        stream, nullptr, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->close(from); }, nullptr, this);
+        stream, nullptr, [](bufferevent* from, void* self) { static_cast<ScriptedServer*>(self)->outputSent(from); }, nullptr, this);
+}
+
+auto ScriptedServer::outputSent(bufferevent* stream) -> void
+{
+    auto& connection = this->connections[stream];
+    if (connection.closeDelay == std::chrono::milliseconds(0))
+        return this->endOutput(stream);
+    connection.timer = std::make_unique<Timer>(this->loop, [this, stream] { this->endOutput(stream); });
+    connection.timer->start(connection.closeDelay);
+}
+
+auto ScriptedServer::endOutput(bufferevent* stream) -> void
+{
+    if (!this->connections[stream].readsOn)
+        return this->close(stream);
+    shutdown(bufferevent_getfd(stream), SHUT_WR);
+    bufferevent_setcb(
+        stream,
+        [](bufferevent* from, void*) {
+            auto* input = bufferevent_get_input(from);
+            evbuffer_drain(input, evbuffer_get_length(input));
+        },
+        nullptr, [](bufferevent* from, short, void* self) { static_cast<ScriptedServer*>(self)->closedByCaller(from); }, this);
+}
+
+auto ScriptedServer::closedByCaller(bufferevent* stream) -> void
+{
+    ++this->closedByPeer;
+    this->close(stream);
 }
 
 auto ScriptedServer::close(bufferevent* stream) -> void
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -30,6 +30,8 @@
     bool resets = false; ///< Whether the connection is reset when the server closes it.
     std::string repeated = {}; ///< Bytes that the server sends again and again after the answer, as fast as they are taken, until the connection is closed.
     std::vector<LaterBytes> later = {}; ///< Sent after the answer, one after the other, while the connection is open.
+    std::chrono::milliseconds closeDelay { 0 }; ///< Time between the answer and the end of the connection.
+    bool readsOn = false; ///< Whether a server that closes only ends its own side, and goes on reading.
 };
 
 /**
@@ -60,6 +62,9 @@
     /** All requests received so far, with head and body. */
     std::vector<std::string> requests;
 
+    /** Whether a request is answered as soon as its head was received. Its connection serves no further one, and its body is read only if the connection stays open. */
+    bool answersHeads = false;
+
     /** Number of connections that the other side closed. */
     int closedByPeer = 0;
 
@@ -73,6 +78,8 @@
         std::string repeated; ///< Bytes that are sent again and again.
         std::deque<LaterBytes> later;
         std::unique_ptr<Timer> timer;
+        std::chrono::milliseconds closeDelay { 0 };
+        bool readsOn = false;
     };
 
     auto accepted(int socket) -> void;
@@ -82,6 +89,9 @@
     auto answer(bufferevent*, const ScriptedAnswer&) -> void;
     auto sendLater(bufferevent*) -> void;
     auto closeAfterOutput(bufferevent*) -> void;
+    auto outputSent(bufferevent*) -> void;
+    auto endOutput(bufferevent*) -> void;
+    auto closedByCaller(bufferevent*) -> void;
     auto close(bufferevent*) -> void;
 
     EventLoop& loop;
