Forwarding: Ended attempts behind another request's answer that ends with its connection

What callers saw: 504 at their deadline, when an engine sent an answer to another request with neither length nor chunks and kept the connection open.

Cause: an answer to another request is read to its end and dropped, and the connection waits for the own one; no answer can follow one that ends with its connection.

Change: such an attempt is lost when the head has been read, and its connection is closed. Why it works: it ends at the only moment at which it is known that no answer will come.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -140,8 +140,12 @@
     const auto reply = this->dialect.readReply(head.status, head.headers);
     // A server may reject a request before it has read the request id, so an error without an id is accepted.
     this->isOwnResponse = reply.requestId ? *reply.requestId == this->requestId : head.status >= firstErrorStatus;
-    if (!this->isOwnResponse)
+    if (!this->isOwnResponse) {
+        // No other response can follow one that ends with its connection.
+        if (!head.hasLength)
+            this->finish(CallOutcome::Lost, false);
         return;
+    }
     // On a connection that was used before, it may be the repeated answer to an earlier request, which tells nothing of this one.
     if (!reply.requestId && this->hasAnswered)
         return this->finish(CallOutcome::Lost, false);
--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -262,6 +262,22 @@
     }
 }
 
+// Guards against a caller that waits for its answer behind one that ends with its connection.
+TEST_CASE("an answer to another request that has neither length nor chunks ends the attempt at once")
+{
+    constexpr auto earlyEnd = 1s; // The timeout of the routes is 3 s.
+    for (const auto* prefix : { "/once/", "/read/" }) {
+        CAPTURE(std::string(prefix));
+        const auto first = [](const std::string&) -> ScriptedAnswer { return { ownHead("\r\nX-Attempt-Id: other\r\n") + "\r\nhello" }; };
+        ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
+        const auto isRepeatable = std::string(prefix) == "/read/";
+        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest(prefix, "r1"), earlyEnd);
+        CHECK(answer.starts_with(isRepeatable ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+        CHECK(bodyOf(answer) == (isRepeatable ? "again" : ""));
+        CHECK(fixture.runUntil([&] { return fixture.closedCount() == 1; }, earlyEnd));
+    }
+}
+
 /** A success that has no body whatever its head says, after which the connection stays open. */
 struct BodilessCase {
     const char* name;
