Http: Judged responses to the client by the strict parser

What callers saw: answers of plain services, engines (own interface), the store, the fleet API and engine reports were taken as whole although their status, version, field names, lengths or chunks were none, or the call waited for its timeout (statuses 20, 099 and -200 as interim ones, an unknown transfer coding). Bytes after a whole response were read as the response to the next call on the connection.

Cause: evhttp reads the status with atoi, any HTTP/1.x number as a version, any bytes before a colon as a name, the first of several lengths and chunk sizes with signs and prefixes; what it has not read stays in the buffer of a kept connection.

Change: ResponseCheck reads the bytes of each response with MessageParser as they arrive, before evhttp does. A malformed response fails its call at once, before its head is reported; a response is whole only if the check has found its end, and a connection is kept only if nothing follows and the response keeps it open.

Why it works: no handler is called for a response that the check has rejected, whichever of the two readers is first. Handled before, tests kept: status 000, 101, version 2.0, zero bytes in names, lines without a colon, length beside chunks; a reset during an upload of 4 MiB (five kinds of answers, 20 plays each).

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "errors.h"
 #include "eventloop.h"
+#include "responsecheck.h"
 #include "socketoptions.h"
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <strings.h>
 #include <utility>
 
 namespace Primrosefork {
@@ -63,6 +63,7 @@
         , options(options)
         , handlers(std::move(handlers))
         , timer(client.loop, [this] { this->timedOut(); })
+        , check(maxHeadBytes)
     {
     }
 
@@ -77,6 +78,7 @@
 
 private:
     [[nodiscard]] auto isTooLarge() const -> bool;
+    [[nodiscard]] auto isBroken() const -> bool { return this->check.isMalformed() || this->check.isHeadTooLarge(); }
     auto watchOutput() -> void;
     auto watchInput() -> void;
     auto connected() -> void;
@@ -84,6 +86,10 @@
     auto piecesReceived(evhttp_request*) -> void;
     auto completed(evhttp_request*) -> void;
     [[nodiscard]] auto isCutAfterHead(evhttp_request*) const -> bool;
+    [[nodiscard]] auto isWhole(evhttp_request*) -> bool;
+
+    /** Returns why a response that is not whole is not. */
+    [[nodiscard]] auto failure() const -> Error;
     auto timedOut() -> void;
     auto fail(Error) -> void;
     auto release(bool isReusable) -> void;
@@ -94,6 +100,7 @@
     HttpCallOptions options;
     HttpCallHandlers handlers;
     Timer timer;
+    ResponseCheck check;
     evhttp_connection* connection = nullptr;
     evhttp_request* handle = nullptr;
     evbuffer_cb_entry* outputCallback = nullptr;
@@ -166,10 +173,15 @@
     evhttp_connection_set_max_body_size(this->connection, bodyLimit > 0 ? static_cast<ev_ssize_t>(bodyLimit) : unlimited);
     this->inputCallback = evbuffer_add_cb(
         bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)),
-        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+        [](evbuffer* buffer, const evbuffer_cb_info* info, void* argument) {
             auto* call = static_cast<HttpClientCall*>(argument);
+            if (info->n_added == 0 || call->isDone)
+                return;
             call->inputBytes += info->n_added;
-            if (info->n_added > 0 && !call->isDone && call->isTooLarge())
+            call->check.bytesAdded(buffer, info->n_added);
+            if (call->isBroken())
+                call->client.loop.post([failed = call->self] { failed->fail(failed->failure()); });
+            else if (call->isTooLarge())
                 call->client.loop.post([failed = call->self] { failed->fail(Error::TooLarge); });
         },
         this);
@@ -192,7 +204,7 @@
 
 auto HttpClientCall::headersReceived(evhttp_request* request) -> void
 {
-    if (this->isDone)
+    if (this->isDone || this->isBroken())
         return;
     if (evhttp_request_get_response_code(request) < HttpStatus::ok) {
         // The library adds the headers of the next response to those of an interim response.
@@ -209,7 +221,7 @@
 {
     auto* buffer = evhttp_request_get_input_buffer(request);
     const auto size = evbuffer_get_length(buffer);
-    if (this->isDone || size == 0)
+    if (this->isDone || this->isBroken() || size == 0)
         return;
     this->receivedBytes += size;
     if (this->isTooLarge()) {
@@ -232,17 +244,26 @@
         this->release(false);
         return this->finish(Error::TooLarge);
     }
-    const auto isWhole = request && !this->isFailing && evhttp_request_get_response_code(request) >= HttpStatus::ok && !this->isCutAfterHead(request);
-    if (!isWhole) {
+    if (!request || this->isFailing || !this->isWhole(request)) {
         this->release(false);
-        const auto lost = this->hasExceededLimit ? Error::TooLarge : Error::ConnectionLost;
-        return this->finish(this->hasSentBytes() ? lost : Error::ConnectionFailed);
+        return this->finish(this->hasSentBytes() ? this->failure() : Error::ConnectionFailed);
     }
-    const auto* closing = evhttp_find_header(evhttp_request_get_input_headers(request), "Connection");
-    this->release(!closing || strcasecmp(closing, "close") != 0);
+    this->release(this->check.isReusable());
     this->finish({});
 }
 
+auto HttpClientCall::isWhole(evhttp_request* request) -> bool
+{
+    return this->check.isComplete() && evhttp_request_get_response_code(request) >= HttpStatus::ok && !this->isCutAfterHead(request);
+}
+
+auto HttpClientCall::failure() const -> Error
+{
+    // evhttp reports broken chunks as too large.
+    const auto hasExceeded = this->hasExceededLimit && !this->check.isMalformed();
+    return hasExceeded || this->check.isHeadTooLarge() ? Error::TooLarge : Error::ConnectionLost;
+}
+
 auto HttpClientCall::isCutAfterHead(evhttp_request* request) const -> bool
 {
     // An empty body that ends with its connection looks the same as one that was cut off after the head.
