--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -106,6 +106,7 @@
         if (result != ParseResult::NeedsMore || headSize == bytes.size())
             return result;
     }
+    // Passed on apart from the head, which tells whether the body is chunked.
     const auto body = bytes.substr(consumed);
     const auto bodySize = this->isChunked() ? this->syntax.checkChunks(body) : body.size();
     std::size_t bodyConsumed = 0;
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -90,7 +90,7 @@
     ParseHandlers handlers;
     std::size_t maxHeadBytes;
     std::unique_ptr<http_parser> parser;
-    ResponseSyntax syntax; ///< Used for responses.
+    ResponseSyntax syntax; ///< Reads responses before the library, which accepts malformed ones.
     MessageHead current;
     std::string fieldName;
     std::string fieldValue;
--- a/src/http/responsesyntax.cpp
+++ b/src/http/responsesyntax.cpp
@@ -59,9 +59,12 @@
 auto ResponseSyntax::checkHead(std::string_view bytes) -> std::size_t
 {
     std::size_t count = 0;
-    while (count < bytes.size() && this->state != State::Complete && this->state != State::Malformed)
-        this->state = this->headStateAfter(bytes[count++]);
-    return this->isMalformed() ? count - std::min<std::size_t>(count, 1) : count;
+    while (count < bytes.size() && !this->hasEnded()) {
+        this->state = this->headStateAfter(bytes[count]);
+        if (!this->isMalformed())
+            ++count;
+    }
+    return count;
 }
 
 auto ResponseSyntax::headStateAfter(char byte) -> State
@@ -134,9 +137,11 @@
         this->state = State::ChunkSizeStart;
     this->isInChunks = true;
     std::size_t count = 0;
-    while (count < bytes.size() && this->state != State::Complete && this->state != State::Malformed) {
+    while (count < bytes.size() && !this->hasEnded()) {
         if (this->state != State::ChunkData) {
-            this->state = this->chunkStateAfter(bytes[count++]);
+            this->state = this->chunkStateAfter(bytes[count]);
+            if (!this->isMalformed())
+                ++count;
             continue;
         }
         const auto size = std::min<std::uint64_t>(this->chunkLeft, bytes.size() - count);
@@ -145,7 +150,7 @@
         if (this->chunkLeft == 0)
             this->state = State::ChunkDataReturn;
     }
-    return this->isMalformed() ? count - std::min<std::size_t>(count, 1) : count;
+    return count;
 }
 
 auto ResponseSyntax::chunkStateAfter(char byte) -> State
--- a/src/http/responsesyntax.h
+++ b/src/http/responsesyntax.h
@@ -17,10 +17,10 @@
     /** Prepares for the next response. */
     auto reset() -> void { *this = {}; }
 
-    /** Checks \a bytes of the head and returns how many of them belong to it, up to the first one that breaks the syntax. */
+    /** Checks \a bytes of the head and returns how many of them belong to it and come before the first one that breaks the syntax. */
     auto checkHead(std::string_view bytes) -> std::size_t;
 
-    /** Checks \a bytes of a chunked body and returns how many of them belong to it, up to the first one that breaks the syntax. */
+    /** Checks \a bytes of a chunked body in the same way, after the head. */
     auto checkChunks(std::string_view bytes) -> std::size_t;
 
     [[nodiscard]] auto isMalformed() const -> bool { return this->state == State::Malformed; }
@@ -41,10 +41,11 @@
         ChunkData,
         ChunkDataReturn, ///< At the carriage return after the data.
         ChunkDataEnd, ///< After that carriage return.
-        Complete,
+        Complete, ///< At the end of the head or of the chunked body.
         Malformed,
     };
 
+    [[nodiscard]] auto hasEnded() const -> bool { return this->state == State::Complete || this->state == State::Malformed; }
     auto headStateAfter(char) -> State;
     auto statusLineStateAfter(char) -> State;
     [[nodiscard]] auto lineStartStateAfter(char) const -> State;
@@ -53,9 +54,9 @@
 
     State state = State::StatusLine;
     std::size_t position = 0; ///< Number of bytes read of the status line, up to the end of the status.
-    int status = 0;
+    int status = 0; ///< The digits of the status that were read.
     bool hasLines = false; ///< Whether a field line was read, which the next line may continue.
-    bool isInChunks = false;
+    bool isInChunks = false; ///< Whether checkChunks() was called.
     std::uint64_t chunkLeft = 0; ///< Number of bytes of the chunk that are still to come.
 };
 
