--- a/tests/gateway/test_answerends.cpp
+++ b/tests/gateway/test_answerends.cpp
@@ -11,7 +11,6 @@
 
 constexpr int firstPort = 18321;
 constexpr std::size_t responseLimit = 8 * mebibyte;
-constexpr auto earlyEnd = 2s; ///< Time in which an attempt has to end that a broken answer ends; the timeout of the routes is 3 s.
 
 auto ownHead(const std::string& request, const std::string& status = "200") -> std::string
 {
@@ -242,6 +241,7 @@
 // Guards against a body whose end is not where its chunks say being passed on as a whole one.
 TEST_CASE("an answer with broken chunks ends its attempt at once and does not look whole")
 {
+    constexpr auto earlyEnd = 1s; // The timeout of the routes is 3 s.
     for (const auto& row : chunkCases) {
         for (const auto* prefix : { "/once/", "/read/", "/stream/" }) {
             CAPTURE(std::string(row.name));
@@ -265,6 +265,7 @@
 // Guards against a caller that waits for its answer behind one that ends with its connection.
 TEST_CASE("an answer to another request that has neither length nor chunks ends the attempt at once")
 {
+    constexpr auto earlyEnd = 1s; // The timeout of the routes is 3 s.
     for (const auto* prefix : { "/once/", "/read/" }) {
         CAPTURE(std::string(prefix));
         const auto first = [](const std::string&) -> ScriptedAnswer { return { ownHead("\r\nX-Attempt-Id: other\r\n") + "\r\nhello" }; };
@@ -296,7 +297,7 @@
         CAPTURE(std::string(row.name));
         const auto first = [&](const std::string& request) -> ScriptedAnswer { return { ownHead(request, row.status) + row.lines + "\r\n" }; };
         ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
-        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"), earlyEnd);
+        const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"), 1s);
         CHECK(answer.starts_with("HTTP/1.1 " + std::string(row.status)));
         CHECK(fixture.requestCount == 1);
     }
@@ -309,7 +310,7 @@
         return { "HTTP/1.1 103 X\r\nContent-Length: 40\r\n\r\n" + GatewayFixture::answerTo(request, 200, "hello") };
     };
     ServerPairFixture fixture("app", first, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "again") }; });
-    const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"), earlyEnd);
+    const auto answer = fixture.sendRequest(GatewayFixture::makeRequest("/once/", "r1"), 1s);
     CHECK(answer.starts_with("HTTP/1.1 200"));
     CHECK(bodyOf(answer) == "hello");
 }
--- a/tests/gateway/test_brokenheads.cpp
+++ b/tests/gateway/test_brokenheads.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto earlyEnd = 2s; ///< Time in which an attempt with a broken answer has to end; the timeout of the routes is 3 s.
+constexpr auto earlyEnd = 1s; ///< Time in which an attempt with a broken answer has to end; the timeout of the routes is 3 s.
 constexpr auto answerBody = "data: hello\n\n";
 
 /** A kind of route, and what its callers get after one broken answer. */
--- a/tests/gateway/test_uploadresets.cpp
+++ b/tests/gateway/test_uploadresets.cpp
@@ -20,7 +20,7 @@
 
 constexpr int serverPort = 18321;
 constexpr std::size_t uploadBytes = 4 * mebibyte;
-constexpr auto earlyEnd = 2s; ///< Time in which an attempt whose connection was reset has to end; the timeout of the routes is 3 s.
+constexpr auto earlyEnd = 1s; ///< Time in which an attempt whose connection was reset has to end; the timeout of the routes is 3 s.
 constexpr auto oneEvent = "id: 1\ndata: a\n\n";
 
 auto makeUpload(const std::string& prefix) -> std::string
--- a/tests/http/test_httpclient.cpp
+++ b/tests/http/test_httpclient.cpp
@@ -237,8 +237,6 @@
     CHECK_FALSE(outcome.isDone);
 }
 
-constexpr auto longTimeout = 3s; ///< Not reached by calls that fail at once.
-
 /** An answer that breaks the syntax of HTTP, after which the connection stays open. */
 struct BrokenCase {
     const char* name;
@@ -286,13 +284,12 @@
         ScriptedServer server(serverAddress, { { row.answer, false }, { okAnswer, false } });
         REQUIRE(server.isListening);
         auto options = shortCallOptions();
-        options.firstByteTimeout = longTimeout;
-        options.idleTimeout = longTimeout;
+        options.idleTimeout = 2s;
         const auto fetch = [&] {
             Outcome outcome;
             client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, "body" }, options,
                 [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
-            CHECK(client.waitUntil([&] { server.poll(); return outcome.isDone; }, longTimeout));
+            CHECK(client.waitUntil([&] { server.poll(); return outcome.isDone; }, 1s));
             return outcome;
         };
         const auto broken = fetch();
@@ -344,13 +341,10 @@
         for (int play = 0; play < plays; ++play) {
             Testkit::BlockingClient client;
             ScriptedServer server(serverAddress, { { row.answer, true } }); // Closing with unread bytes resets the connection.
-            auto options = shortCallOptions();
-            options.firstByteTimeout = longTimeout;
-            options.idleTimeout = longTimeout;
             Outcome outcome;
-            client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, std::string(uploadBytes, 'u') }, options,
+            client.httpClient().fetch(serverAddress, { "POST", "/a", "", {}, std::string(uploadBytes, 'u') }, shortCallOptions(),
                 [&outcome](std::error_code error, const HttpResponse& response) { outcome = { error, response, true }; });
-            CHECK(client.waitUntil([&] { server.poll(); return outcome.isDone; }, longTimeout));
+            CHECK(client.waitUntil([&] { server.poll(); return outcome.isDone; }, 1s));
             CHECK(outcome.error == Error::ConnectionLost);
         }
     }
