Forwarding: Sent a request again only on a connection that has not carried it

Cause: a full server refuses a request; the node keeps the connection, holds the request and sends it again, often to the same server on the same connection, the one used last. A late copy of the refusal, which the server writes before its next answer, names the request that is in flight: the id is the same for both sendings, so the node took the copy for the answer to the second one. It believed that the request had not run, sent it a third time or refused it, while the second sending ran.

Ruled out: copies on other requests (their id differs; strayanswers), copies without an id (they end the attempt as lost), copies on an idle connection (it is closed), and requests counted as not sent (the record of the case has the copy before each second run).

Change: a run remembers the connections that have carried its request, and none of them carries it again; they go on serving other requests, where the copy is dropped by its id. HTTP answers come in order on their connection, so on a connection with one sending of a request an answer with its id belongs to that sending. It holds for every repeated sending, as all go through the same function: held requests, other attempts, moved and resumed streams.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -32,9 +32,10 @@
 } // namespace
 
 BackendConnection::BackendConnection(
-    EventLoop& loop, const HeaderCodec& dialect, const Address& address, std::chrono::milliseconds connectTimeout, ReleasedHandler freed)
+    EventLoop& loop, const HeaderCodec& dialect, const Address& address, std::uint64_t number, std::chrono::milliseconds connectTimeout, ReleasedHandler freed)
     : loop(loop)
     , dialect(dialect)
+    , serialNumber(number)
     , releasedHandler(std::move(freed))
     , stream(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
     , parser(MessageParser::Kind::Response,
--- a/src/forwarding/backendconnection.h
+++ b/src/forwarding/backendconnection.h
@@ -8,9 +8,11 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct bufferevent;
 
@@ -23,6 +25,7 @@
     HttpHeaders headers;
     std::shared_ptr<const BlockBuffer> body;
     std::string requestId; ///< Responses that carry another id are discarded.
+    std::vector<std::uint64_t> usedConnections; ///< Connections that have carried the request before, which do not carry it again: a late copy of their response has the same id.
 };
 
 /** How one call to a backend server ended. */
@@ -52,7 +55,8 @@
     /** Called when the connection can take the next call (\a isReusable) or is to be destroyed. */
     using ReleasedHandler = std::function<void(BackendConnection&, bool isReusable)>;
 
-    BackendConnection(EventLoop&, const HeaderCodec&, const Address&, std::chrono::milliseconds connectTimeout, ReleasedHandler);
+    /** \a number tells the connection from all others of the node. */
+    BackendConnection(EventLoop&, const HeaderCodec&, const Address&, std::uint64_t number, std::chrono::milliseconds connectTimeout, ReleasedHandler);
     ~BackendConnection();
     BackendConnection(const BackendConnection&) = delete;
     auto operator=(const BackendConnection&) -> BackendConnection& = delete;
@@ -68,6 +72,8 @@
     auto pauseReading() -> void;
     auto resumeReading() -> void;
 
+    [[nodiscard]] auto number() const -> std::uint64_t { return this->serialNumber; }
+
     /** Returns the time until which the server is expected to keep the idle connection open. */
     [[nodiscard]] auto reusableUntil() const -> EventLoop::TimePoint { return this->reuseDeadline; }
 
@@ -88,6 +94,7 @@
 
     EventLoop& loop;
     const HeaderCodec& dialect;
+    std::uint64_t serialNumber;
     ReleasedHandler releasedHandler;
     bufferevent* stream;
     MessageParser parser;
--- a/src/forwarding/backendpool.cpp
+++ b/src/forwarding/backendpool.cpp
@@ -1,5 +1,6 @@
 #include "backendpool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Primrosefork {
@@ -9,6 +10,7 @@
 public:
     explicit Call(BackendConnection* connection)
         : connection(connection)
+        , number(connection->number())
     {
     }
 
@@ -30,10 +32,13 @@
             this->connection->resumeReading();
     }
 
+    [[nodiscard]] auto connectionNumber() const -> std::uint64_t override { return this->number; }
+
     auto ended() -> void { this->connection = nullptr; }
 
 private:
     BackendConnection* connection;
+    std::uint64_t number;
 };
 
 BackendPool::BackendPool(EventLoop& loop, const HeaderCodec& dialect, std::chrono::milliseconds connectTimeout)
@@ -52,7 +57,7 @@
 auto BackendPool::send(const BackendServer& server, const BackendMessage& message, CallHandlers handlers) -> std::shared_ptr<BackendCall>
 {
     auto& serverConnections = this->connectionsByServer[server.id];
-    auto* connection = this->acquireIdle(serverConnections);
+    auto* connection = this->acquireIdle(serverConnections, message.usedConnections);
     if (!connection)
         connection = this->openConnection(server, serverConnections);
     const auto call = std::make_shared<Call>(connection);
@@ -64,15 +69,20 @@
     return call;
 }
 
-auto BackendPool::acquireIdle(ServerConnections& serverConnections) -> BackendConnection*
+auto BackendPool::acquireIdle(ServerConnections& serverConnections, std::span<const std::uint64_t> excluded) -> BackendConnection*
 {
     const auto now = EventLoop::now();
-    while (!serverConnections.idle.empty()) {
-        auto* connection = serverConnections.idle.back();
-        serverConnections.idle.pop_back();
-        if (connection->reusableUntil() > now)
-            return connection;
-        connection->cancel();
+    auto& idle = serverConnections.idle;
+    for (auto place = idle.size(); place > 0; --place) {
+        auto* connection = idle[place - 1];
+        if (connection->reusableUntil() <= now) {
+            connection->cancel(); // Removes it from the list.
+            continue;
+        }
+        if (std::find(excluded.begin(), excluded.end(), connection->number()) != excluded.end())
+            continue;
+        std::erase(idle, connection);
+        return connection;
     }
     return nullptr;
 }
@@ -80,7 +90,7 @@
 auto BackendPool::openConnection(const BackendServer& server, ServerConnections& serverConnections) -> BackendConnection*
 {
     ++this->opened;
-    auto connection = std::make_unique<BackendConnection>(this->loop, this->dialect, server.address, this->connectTimeout,
+    auto connection = std::make_unique<BackendConnection>(this->loop, this->dialect, server.address, this->opened, this->connectTimeout,
         [this, id = server.id](BackendConnection& releasedConnection, bool isReusable) { this->connectionReleased(id, releasedConnection, isReusable); });
     auto* key = connection.get();
     serverConnections.all.emplace(key, std::move(connection));
--- a/src/forwarding/backendpool.h
+++ b/src/forwarding/backendpool.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -11,7 +12,7 @@
 
 /**
  * The connections of this node to backend servers. Idle connections are reused,
- * the most recently used one first.
+ * the most recently used one first, but none carries the same request twice.
  */
 class BackendPool : public BackendSender {
 public:
@@ -42,7 +43,8 @@
         std::vector<BackendConnection*> idle; ///< Idle connections, the most recently used one last.
     };
 
-    auto acquireIdle(ServerConnections&) -> BackendConnection*;
+    /** Takes the most recently used idle connection that is none of \a excluded; returns null if there is none. */
+    auto acquireIdle(ServerConnections&, std::span<const std::uint64_t> excluded) -> BackendConnection*;
     auto openConnection(const BackendServer&, ServerConnections&) -> BackendConnection*;
     auto connectionReleased(const std::string& id, BackendConnection&, bool isReusable) -> void;
 
--- a/src/forwarding/backendsender.h
+++ b/src/forwarding/backendsender.h
@@ -3,6 +3,7 @@
 #include "backendconnection.h"
 #include "backendserver.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace Primrosefork {
@@ -18,6 +19,9 @@
     virtual auto cancel() -> void = 0;
     virtual auto pause() -> void = 0;
     virtual auto resume() -> void = 0;
+
+    /** Returns the number of the connection that carries the call; no other connection of the node has had it. */
+    [[nodiscard]] virtual auto connectionNumber() const -> std::uint64_t = 0;
 };
 
 /** Sends requests to backend servers. */
--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -96,6 +96,7 @@
             this->attemptEnded(outcome);
     };
     this->attempt->call = this->context.sender.send(server, this->makeMessage(server), std::move(handlers));
+    this->usedConnections.push_back(this->attempt->call->connectionNumber());
 }
 
 auto ForwardRun::makeMessage(const BackendServer& server) const -> BackendMessage
@@ -115,6 +116,7 @@
     message.headers = this->context.dialect.backendHeaders(withoutHopHeaders(head.headers), fields);
     message.body = this->body;
     message.requestId = this->details.fields.requestId;
+    message.usedConnections = this->usedConnections;
     return message;
 }
 
--- a/src/forwarding/forwardrun.h
+++ b/src/forwarding/forwardrun.h
@@ -5,12 +5,14 @@
 #include "runmove.h"
 #include "streamprogress.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Primrosefork {
 
@@ -114,6 +116,7 @@
     std::optional<ForwardAttempt> attempt;
     std::set<std::string> excluded; ///< Servers that failed or refused this request.
     std::set<std::string> full; ///< Servers among them that had no room for it.
+    std::vector<std::uint64_t> usedConnections; ///< Numbers of the connections that have carried the request.
     std::shared_ptr<const BlockBuffer> body;
     std::optional<std::string> lastEventId; ///< Id of the last event that the caller has, from an earlier stream or from this one.
     StreamProgress progress;
--- a/tests/forwarding/attemptworld.h
+++ b/tests/forwarding/attemptworld.h
@@ -3,6 +3,7 @@
 #include "forwardcontext.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,17 +56,20 @@
 
 class Call : public BackendCall {
 public:
-    explicit Call(std::shared_ptr<ServerSide> side)
+    Call(std::shared_ptr<ServerSide> side, std::uint64_t number)
         : side(std::move(side))
+        , number(number)
     {
     }
 
     auto cancel() -> void override { this->side->isOpen = false; }
     auto pause() -> void override { }
     auto resume() -> void override { }
+    [[nodiscard]] auto connectionNumber() const -> std::uint64_t override { return this->number; }
 
 private:
     std::shared_ptr<ServerSide> side;
+    std::uint64_t number;
 };
 
 /** A codec that passes on the two fields which the servers of the test look at. */
@@ -111,8 +115,11 @@
         const auto resume = message.headers.get("Resume").value_or("");
         side->nextEvent = resume.empty() ? 1 : std::stoul(resume) + 1;
         this->checkAttempt(copy);
+        // Every attempt has a connection of its own here, so all earlier ones are to be left out.
+        if (message.usedConnections.size() != this->attempts.size())
+            this->faults.emplace_back("an attempt that may share the connection of an earlier one");
         this->attempts.push_back(side);
-        return std::make_shared<Call>(side);
+        return std::make_shared<Call>(side, this->attempts.size());
     }
 
     auto chooseServer(const ForwardRequest& /*request*/, const std::set<std::string>& excluded, EventLoop::TimePoint /*now*/) -> const BackendServer* override
--- a/tests/forwarding/test_backendpool.cpp
+++ b/tests/forwarding/test_backendpool.cpp
@@ -1,12 +1,18 @@
 #include "backendpool.h"
 #include "headers.h"
+#include "messages.h"
+#include "scriptedserver.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <doctest/doctest.h>
 #include <optional>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
+#include <vector>
 
 using namespace Primrosefork;
 using namespace std::chrono_literals;
@@ -70,7 +76,7 @@
     std::optional<CallOutcome> outcome;
     CallHandlers handlers;
     handlers.onDone = [&outcome](CallOutcome ended) { outcome = ended; };
-    const auto call = pool.send(server, { "POST", "/x", {}, {}, "r1" }, std::move(handlers));
+    const auto call = pool.send(server, { "POST", "/x", {}, {}, "r1", {} }, std::move(handlers));
     runFor(loop, 50ms);
     REQUIRE_FALSE(outcome.has_value());
     pool.failUnconnected("i-2");
@@ -81,4 +87,64 @@
     runFor(loop, 10ms);
 }
 
+struct ReuseCase {
+    const char* name;
+    std::vector<std::string> first; ///< Requests that are sent at the same time, each on a connection of its own.
+    std::vector<std::size_t> used; ///< Places among them of the connections that have carried the next request before.
+    std::optional<std::size_t> expected; ///< Place of the connection that the next request gets, or nothing for a new one.
+};
+
+const ReuseCase reuseCases[] = {
+    { "another request, after one", { "a" }, {}, 0 },
+    { "another request, after two", { "a", "b" }, {}, 1 },
+    { "the same request", { "a" }, { 0 }, std::nullopt },
+    { "the same request beside another one", { "a", "b" }, { 1 }, 0 },
+    { "a request that both have carried", { "a", "b" }, { 0, 1 }, std::nullopt },
+};
+
+// Guards against a request on a connection that may still bring a late copy of the answer to an earlier sending of it.
+TEST_CASE("a request gets no connection that has carried it before; other requests still do")
+{
+    for (const auto& row : reuseCases) {
+        CAPTURE(std::string(row.name));
+        EventLoop loop;
+        const PlatformHeaders dialect;
+        BackendPool pool(loop, dialect, 1s);
+        constexpr std::uint16_t port = 18321;
+        const Testkit::ScriptedServer scripted(loop, { "127.0.0.1", port }, [](const std::string& request) -> Testkit::ScriptedAnswer {
+            return { .bytes = "", .later = { { 5ms, Testkit::answerTo(request, 200, "x") } } };
+        });
+        BackendServer server;
+        server.id = "i-1";
+        server.address = { "127.0.0.1", port };
+        std::size_t finished = 0;
+        const auto send = [&](const std::string& id, std::vector<std::uint64_t> used) {
+            CallHandlers handlers;
+            handlers.onDone = [&finished](CallOutcome outcome) { finished += outcome == CallOutcome::Complete ? 1 : 0; };
+            return pool.send(server, { "POST", "/x", { { "X-Attempt-Id", id } }, {}, id, std::move(used) }, std::move(handlers));
+        };
+        std::vector<std::uint64_t> numbers;
+        for (const auto& id : row.first)
+            numbers.push_back(send(id, {})->connectionNumber());
+        while (finished < row.first.size())
+            loop.runOnce();
+        std::vector<std::uint64_t> used;
+        for (const auto place : row.used)
+            used.push_back(numbers[place]);
+        const auto number = send("next", used)->connectionNumber();
+        if (row.expected)
+            CHECK(number == numbers[*row.expected]);
+        else
+            CHECK(std::find(numbers.begin(), numbers.end(), number) == numbers.end());
+        while (finished < row.first.size() + 1)
+            loop.runOnce();
+        CHECK(pool.connectionCount("i-1") == row.first.size() + (row.expected ? 0 : 1));
+        const auto opened = pool.openedCount();
+        for (std::size_t count = 0; count < opened; ++count)
+            send("other-" + std::to_string(count), {});
+        CHECK(pool.openedCount() == opened);
+        runFor(loop, 20ms);
+    }
+}
+
 } // namespace
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace Primrosefork::Testkit {
 
@@ -129,8 +130,10 @@
 
 auto ScriptedServer::answer(bufferevent* stream, const ScriptedAnswer& answer) -> void
 {
-    bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
     auto& connection = this->connections[stream];
+    const auto lateCopy = std::exchange(connection.beforeNext, answer.beforeNext);
+    bufferevent_write(stream, lateCopy.data(), lateCopy.size());
+    bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
     if (!answer.repeated.empty()) {
         connection.repeated = answer.repeated;
         this->written(stream);
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -31,6 +31,7 @@
     std::string repeated = {}; ///< Bytes that the server sends again and again after the answer, as fast as they are taken, until the connection is closed.
     std::vector<LaterBytes> later = {}; ///< Sent after the answer, one after the other, while the connection is open.
     std::chrono::milliseconds closeDelay { 0 }; ///< Time between the answer and the end of the connection.
+    std::string beforeNext = {}; ///< Sent right before the answer to the next request on the connection, like a late copy of this one.
     bool readsOn = false; ///< Whether a server that closes only ends its own side, and goes on reading.
 };
 
@@ -76,6 +77,7 @@
         std::string input; ///< Received bytes of incomplete requests.
         std::string lastRequest;
         std::string repeated; ///< Bytes that are sent again and again.
+        std::string beforeNext; ///< Bytes that are sent before the next answer.
         std::deque<LaterBytes> later;
         std::unique_ptr<Timer> timer;
         std::chrono::milliseconds closeDelay { 0 };
