Systems: Called plain services on connections of their own

What callers of the node's own interface would see: the answer of another call. A plain service's answers do not name their request, so a second copy of an answer, written late on a kept connection, counted for the next call on it; calls that may be repeated were sent on kept connections. Found by looking for the cause of the late refusals on related paths, not seen by a user.

Cause: HTTP tells answers apart by their order on the connection alone, and the copy breaks the order.

Ruled out: calls that may not be repeated (they had a connection of their own before), streams of engines (their lines name the stream, and an answer without it ends the attempt), load reports (a late one is only older). Moves of runs open a connection each.

Change: HttpPlainServices opens a connection for each call, instead of leaving it to the caller.

--- a/src/node/plainrun.cpp
+++ b/src/node/plainrun.cpp
@@ -156,7 +156,6 @@
     result.options.firstByteTimeout = std::min(settings.timeouts.backendFirstByte, remaining);
     result.options.idleTimeout = settings.timeouts.backendIdle;
     result.options.maxResponseBytes = settings.limits.answerBytes;
-    result.options.usesFreshConnection = !this->request.route.isIdempotent;
     return result;
 }
 
--- a/src/systems/plainservice.h
+++ b/src/systems/plainservice.h
@@ -33,7 +33,7 @@
 
     virtual ~PlainServices() = default;
 
-    /** Calls \a service once, without a retry. */
+    /** Calls \a service once, without a retry, on a connection that has carried no other call. */
     virtual auto call(const Address& service, const PlainCall&, Handler) -> std::shared_ptr<HttpCall> = 0;
 };
 
