Soak: Added crowds at full servers and faults of the links to servers

The soak had neither servers that are full nor faults between two parties, so it could not show what the users saw on machines of their own. A crowd leaves each plain server one slot for some seconds; it refuses the rest, and writes half of the refusals once more before its next answer on the connection. LinkProxy stands between the nodes and each server: it delays both ways, holds up one way, or resets all connections. The nodes run with admission, as on the users' platform.

--- a/src/measure/soak/faultplan.cpp
+++ b/src/measure/soak/faultplan.cpp
@@ -49,6 +49,11 @@
         { "endless", FaultTarget::Server, 200ms, 600ms },
         { "lose-answers", FaultTarget::Server, 300ms, 1'500ms },
         { "deadly-part", FaultTarget::Load, 300ms, 1'500ms },
+        { "crowd", FaultTarget::Load, 1'000ms, 3'000ms },
+        { "link-delay", FaultTarget::Server, 300ms, 2'000ms },
+        { "hold-requests", FaultTarget::Server, 300ms, 2'000ms },
+        { "hold-answers", FaultTarget::Server, 300ms, 2'000ms },
+        { "reset-link", FaultTarget::Server, 100ms, 200ms },
     };
     return kinds;
 }
--- a/src/measure/soak/soakfaults.cpp
+++ b/src/measure/soak/soakfaults.cpp
@@ -17,6 +17,19 @@
 constexpr auto slowAnswer = 600ms;
 constexpr std::size_t largeWorkspaces = 4'000;
 
+constexpr std::size_t crowdedSlots = 1; ///< Of each plain server, while the callers crowd in.
+
+struct LinkTrouble {
+    const char* kind;
+    Testkit::LinkFault fault;
+};
+
+constexpr LinkTrouble linkTroubles[] = {
+    { "link-delay", Testkit::LinkFault::Delays },
+    { "hold-requests", Testkit::LinkFault::HoldsRequests },
+    { "hold-answers", Testkit::LinkFault::HoldsAnswers },
+};
+
 struct Misbehaviour {
     const char* kind;
     ServerFault fault;
@@ -53,6 +66,14 @@
     case FaultTarget::Operator:
         return this->writeConfiguration(fault.kind == "large-change" ? largeWorkspaces : 0);
     case FaultTarget::Load:
+        if (fault.kind == "crowd") {
+            for (const auto& server : this->servers)
+                server->setSlots(crowdedSlots);
+            return this->later(fault.duration, [this] {
+                for (const auto& server : this->servers)
+                    server->setSlots(0);
+            });
+        }
         this->sendsDeadly = true;
         return this->later(fault.duration, [this] { this->sendsDeadly = false; });
     }
@@ -104,13 +125,14 @@
     const auto index = fault.target;
     auto* server = this->servers[index].get();
     if (fault.kind == "crash") {
-        server->crash();
+        this->crashServer(index);
         return this->later(fault.duration, [this, index] {
-            ++this->incarnations[index];
-            this->servers[index]->start();
+            this->startServer(index);
             this->registerServer(index, "ready");
         });
     }
+    if (this->beginLinkFault(fault))
+        return;
     if (fault.kind == "leave") {
         this->registerServer(index, "draining");
         this->promises.serverLeft(server->id(), this->now());
@@ -125,15 +147,43 @@
     this->later(fault.duration, [server] { server->setFault(ServerFault::None); });
 }
 
+auto SoakRun::beginLinkFault(const PlannedFault& fault) -> bool
+{
+    auto* link = this->links[fault.target].get();
+    const auto* trouble = std::find_if(std::begin(linkTroubles), std::end(linkTroubles), [&fault](const auto& entry) { return fault.kind == entry.kind; });
+    if (fault.kind != "reset-link" && trouble == std::end(linkTroubles))
+        return false;
+    this->servers[fault.target]->harmRecent();
+    if (fault.kind == "reset-link") {
+        link->reset();
+        return true;
+    }
+    link->setFault(trouble->fault);
+    this->later(fault.duration, [link] { link->setFault(Testkit::LinkFault::None); });
+    return true;
+}
+
+auto SoakRun::crashServer(std::size_t index) -> void
+{
+    this->links[index]->stop();
+    this->servers[index]->crash();
+}
+
+auto SoakRun::startServer(std::size_t index) -> void
+{
+    ++this->incarnations[index];
+    this->servers[index]->start();
+    this->links[index]->start();
+}
+
 auto SoakRun::replaceServer(std::size_t index) -> void
 {
     auto* server = this->servers[index].get();
-    server->crash();
+    this->crashServer(index);
     server->setFault(ServerFault::None);
     this->store.remove(Testkit::registrationKey(server->id()));
     this->later(returnDelay, [this, index, server] {
-        ++this->incarnations[index];
-        server->start();
+        this->startServer(index);
         this->promises.serverReturned(server->id());
         this->registerServer(index, "ready");
     });
--- a/src/measure/soak/soaknode.cpp
+++ b/src/measure/soak/soaknode.cpp
@@ -31,7 +31,7 @@
         { "listen", { { "callers", this->callers().toString() }, { "readiness", ip + ":8081" }, { "peers", ip + ":8082" }, { "operators", ip + ":8083" } } },
         { "systems", { { "key_value_service", systems.store.toString() }, { "fleet_api", systems.fleet.toString() } } },
         { "bounds", { { "drain", text(bounds.drain) }, { "configuration", text(bounds.configuration) }, { "revocation", text(bounds.revocation) }, { "stop_grace", text(bounds.stopGrace) } } },
-        { "log_level", "info" } };
+        { "admission", { { "enabled", true } } }, { "log_level", "info" } };
     this->writeSettings();
 }
 
--- a/src/measure/soak/soakrun.cpp
+++ b/src/measure/soak/soakrun.cpp
@@ -39,6 +39,9 @@
     for (std::size_t index = 0; index < options.plan.servers; ++index) {
         this->servers.push_back(std::make_unique<Testkit::FaultyServer>(
             this->loop, Address { this->network + "2", static_cast<std::uint16_t>(firstServerPort + index) }, "server-" + std::to_string(index), *this));
+        this->links.push_back(std::make_unique<Testkit::LinkProxy>(
+            this->loop, Address { this->network + "3", static_cast<std::uint16_t>(firstServerPort + index) }, this->servers.back()->address()));
+        this->links.back()->requestHarmed = [this](const std::string& bytes) { this->requestHarmed(Testkit::requestIdOf(bytes)); };
         this->registerServer(index, "ready");
     }
     for (std::size_t node = 0; node < options.plan.nodes; ++node) {
@@ -179,7 +182,7 @@
 {
     const auto more = R"(,"born":)" + std::to_string(1'000 + this->incarnations[index]);
     this->store.put(Testkit::registrationKey(this->servers[index]->id()),
-        Testkit::registrationDocument(this->serviceOf(index), this->servers[index]->address().toString(), state, more));
+        Testkit::registrationDocument(this->serviceOf(index), this->links[index]->address().toString(), state, more));
 }
 
 auto SoakRun::requestArrived(const std::string& server, const std::string& request) -> void
--- a/src/measure/soak/soakrun.h
+++ b/src/measure/soak/soakrun.h
@@ -3,6 +3,7 @@
 #include "eventloop.h"
 #include "faultplan.h"
 #include "faultyserver.h"
+#include "linkproxy.h"
 #include "promiseledger.h"
 #include "soakcaller.h"
 #include "soaknode.h"
@@ -73,6 +74,15 @@
     auto beginNodeFault(const PlannedFault&) -> void;
     auto beginStoreFault(const PlannedFault&) -> void;
     auto beginServerFault(const PlannedFault&) -> void;
+
+    /** Begins a fault between the nodes and a server; returns false when \a fault is none. */
+    auto beginLinkFault(const PlannedFault& fault) -> bool;
+
+    /** Ends the process of server \a index. */
+    auto crashServer(std::size_t index) -> void;
+
+    /** Starts a newer process of server \a index. */
+    auto startServer(std::size_t index) -> void;
     auto writeConfiguration(std::size_t moreWorkspaces) -> void;
     auto registerServer(std::size_t index, const char* state) -> void;
 
@@ -93,6 +103,7 @@
     PromiseLedger promises;
     Testkit::StoreStandIn store;
     std::vector<std::unique_ptr<Testkit::FaultyServer>> servers;
+    std::vector<std::unique_ptr<Testkit::LinkProxy>> links; ///< Between the nodes and each server.
     std::vector<int> incarnations; ///< How often each server was registered as a new one.
     std::vector<std::unique_ptr<SoakNode>> nodes;
     std::vector<std::unique_ptr<SoakCaller>> callers;
--- a/tests/platform/faultyserver.cpp
+++ b/tests/platform/faultyserver.cpp
@@ -87,14 +87,30 @@
     this->server = std::make_unique<ScriptedServer>(this->loop, this->listenAddress, [this](const std::string& request) { return this->answer(request); });
 }
 
-auto FaultyServer::crash() -> void
+auto FaultyServer::harmRecent() -> void
 {
     for (const auto& [request, arrival] : this->recent)
         this->observer.requestHarmed(request);
+}
+
+auto FaultyServer::crash() -> void
+{
+    this->harmRecent();
     this->recent.clear();
+    this->callEnds.clear();
     this->server.reset();
 }
 
+auto FaultyServer::isFull(EventLoop::TimePoint now) -> bool
+{
+    while (!this->callEnds.empty() && this->callEnds.front() <= now)
+        this->callEnds.pop_front();
+    if (this->callEnds.size() >= this->slots)
+        return true;
+    this->callEnds.push_back(now + workTime);
+    return false;
+}
+
 auto FaultyServer::eventCount(const std::string& id) -> int
 {
     constexpr int fewest = 3;
@@ -125,6 +141,11 @@
         this->observer.pauseAsked(this->name, id, pause);
         return { pauseAnswer(request, std::chrono::duration<double>(pause).count()) };
     }
+    if (this->slots > 0 && !isStreamRequest(request) && this->isFull(now)) {
+        const auto isRepeated = std::hash<std::string>()(id) % 2 == 0;
+        const auto refusal = refusalAnswer(request);
+        return { .bytes = refusal, .beforeNext = isRepeated ? refusal : "" };
+    }
     this->recent.emplace_back(id, now);
     this->observer.requestRan(this->name, id);
     return this->misbehave(request, id);
--- a/tests/platform/faultyserver.h
+++ b/tests/platform/faultyserver.h
@@ -3,6 +3,7 @@
 #include "scriptedserver.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -48,6 +49,12 @@
 
     auto setFault(ServerFault fault) -> void { this->fault = fault; }
 
+    /** Lets the server run \a slots plain calls at once, or any number with 0. It refuses others, and writes a part of the refusals once more before the next answer on the connection. */
+    auto setSlots(std::size_t slots) -> void { this->slots = slots; }
+
+    /** Reports the requests that may still run as harmed, when something else than the server holds up its answers. */
+    auto harmRecent() -> void;
+
     /** Closes all connections and stops listening, like a process that dies. */
     auto crash() -> void;
     auto start() -> void;
@@ -63,6 +70,9 @@
 
 private:
     auto answer(const std::string& request) -> ScriptedAnswer;
+
+    /** Returns whether all slots are in use; takes one if not. */
+    auto isFull(EventLoop::TimePoint now) -> bool;
     auto misbehave(const std::string& request, const std::string& id) -> ScriptedAnswer;
 
     EventLoop& loop;
@@ -70,6 +80,8 @@
     std::string name;
     ServerObserver& observer;
     ServerFault fault = ServerFault::None;
+    std::size_t slots = 0; ///< 0 when there is no limit.
+    std::deque<EventLoop::TimePoint> callEnds; ///< When the calls that hold a slot end.
     std::unique_ptr<ScriptedServer> server;
     std::deque<std::pair<std::string, EventLoop::TimePoint>> recent; ///< Requests that may still run, with their arrival.
 };
--- a/tests/platform/messages.cpp
+++ b/tests/platform/messages.cpp
@@ -92,6 +92,11 @@
     return answerHead(request, status) + more + "Content-Length: " + std::to_string(body.size()) + headEnd + body;
 }
 
+auto refusalAnswer(const std::string& request) -> std::string
+{
+    return answerTo(request, 503, "", "X-Not-Executed: 1\r\n");
+}
+
 auto pauseAnswer(const std::string& request, double seconds) -> std::string
 {
     return answerTo(request, 503, "", "X-Not-Executed: 1\r\nRetry-After: " + std::to_string(seconds) + "\r\n");
--- a/tests/platform/messages.h
+++ b/tests/platform/messages.h
@@ -33,6 +33,9 @@
 /** Returns an answer that says that \a request was not run and asks for a pause of \a seconds. */
 [[nodiscard]] auto pauseAnswer(const std::string& request, double seconds) -> std::string;
 
+/** Returns an answer that says that \a request was not run. */
+[[nodiscard]] auto refusalAnswer(const std::string& request) -> std::string;
+
 /** Returns the header line with which a server says that it leaves. */
 [[nodiscard]] auto leavingLine() -> std::string;
 
