Forwarding: Closed the connection to a server after a HEAD request

What callers would see: the request after a HEAD on the same connection to a server ended in 502, or waited until its deadline, when the server wrote the answer to the HEAD a second time. Found while looking for late copies on related paths, not seen by a user.

Cause: an answer to HEAD announces the length of a body that it does not have. The late copy is read for the next request, which is no HEAD; its announced body is taken from the next answer.

Ruled out: copies of whole answers, in chunks or with a length, without a body, and refusals (rows of the test, which passed before).

Change: a connection that carried a HEAD is not used again.

Test: backendpool, "the late copy of an answer leaves the answer to the next request whole", 6 rows; the 2 rows with HEAD failed before (4 of 38 checks), all pass now.

--- a/src/forwarding/backendconnection.cpp
+++ b/src/forwarding/backendconnection.cpp
@@ -189,7 +189,8 @@
     const auto& head = this->parser.head();
     const auto isRequestSent = evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
     const auto hasUnreadBytes = evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
-    this->finish(CallOutcome::Complete, head.keepsAlive && head.hasLength && isRequestSent && !hasUnreadBytes);
+    // A late copy of an answer to HEAD announces a body that it does not have, and would take it from the next answer.
+    this->finish(CallOutcome::Complete, head.keepsAlive && head.hasLength && isRequestSent && !hasUnreadBytes && !this->isHeadRequest);
 }
 
 auto BackendConnection::connectionEnded(bool isClean) -> void
--- a/tests/forwarding/test_backendpool.cpp
+++ b/tests/forwarding/test_backendpool.cpp
@@ -147,4 +147,56 @@
     }
 }
 
+struct CopyCase {
+    const char* name;
+    const char* method; ///< Of the request whose answer comes a second time before that to the next one.
+    std::string head; ///< Head of that answer, without its id.
+    std::string body;
+};
+
+const CopyCase copyCases[] = {
+    { "a whole answer", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "first" },
+    { "a refusal", "POST", "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "" },
+    { "an answer in chunks", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "5\r\nfirst\r\n0\r\n\r\n" },
+    { "an answer without a body", "POST", "HTTP/1.1 204 No Content\r\n", "" },
+    { "the head of an answer with a length", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n", "" },
+    { "the head of an answer in chunks", "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "" },
+};
+
+// Guards against the late copy of an answer that takes bytes of the next one with it: after HEAD, nothing tells that it has no body.
+TEST_CASE("the late copy of an answer leaves the answer to the next request whole")
+{
+    for (const auto& row : copyCases) {
+        CAPTURE(std::string(row.name));
+        EventLoop loop;
+        const PlatformHeaders dialect;
+        BackendPool pool(loop, dialect, 1s);
+        constexpr std::uint16_t port = 18321;
+        const Testkit::ScriptedServer scripted(loop, { "127.0.0.1", port }, [&row](const std::string& request) -> Testkit::ScriptedAnswer {
+            if (Testkit::requestIdOf(request) != "first")
+                return { Testkit::answerTo(request, 200, "second") };
+            const auto answer = row.head + "X-Attempt-Id: first\r\n\r\n" + row.body;
+            return { .bytes = answer, .beforeNext = answer };
+        });
+        BackendServer server;
+        server.id = "i-1";
+        server.address = { "127.0.0.1", port };
+        for (const auto* id : { "first", "second" }) {
+            const auto isFirst = std::string_view(id) == "first";
+            std::optional<CallOutcome> outcome;
+            std::string body;
+            CallHandlers handlers;
+            handlers.onBody = [&body](std::string_view bytes) { body += bytes; };
+            handlers.onDone = [&outcome](CallOutcome ended) { outcome = ended; };
+            const auto call = pool.send(server, { isFirst ? row.method : "POST", "/x", { { "X-Attempt-Id", id } }, {}, id, {} }, std::move(handlers));
+            const auto end = EventLoop::now() + 2s;
+            while (!outcome && EventLoop::now() < end)
+                loop.runOnce();
+            CHECK(outcome == CallOutcome::Complete);
+            if (!isFirst)
+                CHECK(body == "second");
+        }
+    }
+}
+
 } // namespace
