Intake: Counted heads by the memory that they take

Cause: a head counted as twice its bytes on the wire. A line of four bytes is kept as two strings, 64 bytes, in a vector that grows by doubling, and once more in a copy while the body arrives. Whole requests counted nothing for their heads, and a connection that was refused kept its head while it lingered.

Ruled out: bodies (counted; the other rows of crowds passed before), the input buffers (16 KB a connection).

Change: headers tell the memory that they take, and that counts while a head arrives, while its body arrives, and until its request ends; the head is moved instead of copied; a refused connection drops it. A head of up to 4 KiB of memory counts with its connection, so ordinary requests count as before. No limit on the number of lines is added: a single head within max-header-bytes is served as before.

--- a/src/forwarding/callerconnection.cpp
+++ b/src/forwarding/callerconnection.cpp
@@ -43,6 +43,19 @@
     return { text.data(), static_cast<std::size_t>(length) };
 }
 
+/** Returns the memory of a head beyond that of an ordinary one, which counts with its connection. */
+auto excessHeadBytes(const MessageHead& head) -> std::size_t
+{
+    const auto bytes = head.memorySize();
+    return bytes > connectionBytes ? bytes : 0;
+}
+
+/** Returns the bytes of a request that are kept until it ends. */
+auto keptBytes(const CallerMessage& message) -> std::size_t
+{
+    return message.body.size() + excessHeadBytes(message.head);
+}
+
 } // namespace
 
 CallerExchange::CallerExchange(CallerConnection& connection, BufferBudget& buffers, CallerMessage message, Intake* intake)
@@ -50,9 +63,9 @@
     , message(std::move(message))
     , buffered(buffers)
 {
-    this->buffered.resize(this->message.body.capacity());
+    this->buffered.resize(this->message.body.capacity() + excessHeadBytes(this->message.head));
     if (intake)
-        this->admitted.emplace(intake->bodies, this->message.body.size());
+        this->admitted.emplace(intake->bodies, keptBytes(this->message));
 }
 
 auto CallerExchange::respond(int status, const HttpHeaders& headers, std::string_view body) -> void
@@ -128,7 +141,7 @@
     , closedHandler(std::move(closed))
     , stream(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
     , parser(MessageParser::Kind::Request,
-          { [this](const MessageHead& head) { this->headReceived(head); }, [this](std::string_view bytes) { this->bodyReceived(bytes); } },
+          { [this](const MessageHead&) { this->headReceived(); }, [this](std::string_view bytes) { this->bodyReceived(bytes); } },
           limits.headerBytes)
     , timer(loop, [this] { this->timedOut(); })
     , phaseBegan(EventLoop::now())
@@ -203,11 +216,12 @@
     }
 }
 
-auto CallerConnection::headReceived(const MessageHead& head) -> void
+auto CallerConnection::headReceived() -> void
 {
     this->incoming = {};
-    this->incoming.head = head;
+    this->incoming.head = this->parser.takeHead();
     this->incoming.received = EventLoop::now();
+    const auto& head = this->incoming.head;
     if (const auto text = head.headers.get("Content-Length")) {
         const auto length = std::strtoull(text->c_str(), nullptr, 10);
         this->isTooLarge = length > this->limits.bodyBytes;
@@ -248,8 +262,7 @@
 
 auto CallerConnection::countIncoming() -> void
 {
-    // The headers are kept as they were received and as names and values.
-    const auto bytes = 2 * std::min(this->parser.headSize(), this->limits.headerBytes) + this->incoming.body.capacity();
+    const auto bytes = this->parser.head().memorySize() + this->incoming.head.memorySize() + this->incoming.body.capacity();
     if (!this->incomingBytes && bytes <= connectionBytes)
         return;
     if (!this->incomingBytes) {
@@ -276,7 +289,7 @@
         this->closesAfterResponse = true;
     this->incomingBytes.reset();
     bufferevent_setwatermark(this->stream, EV_READ, 0, maxReadAheadBytes);
-    const auto isAdmitted = this->admits(this->incoming.body.size());
+    const auto isAdmitted = this->admits(keptBytes(this->incoming));
     this->exchange = std::make_shared<CallerExchange>(*this, this->buffers, std::move(this->incoming), isAdmitted ? this->intake : nullptr);
     this->incoming = {};
     const auto current = this->exchange;
@@ -329,6 +342,7 @@
     this->closesAfterResponse = true;
     this->incoming = {};
     this->incomingBytes.reset();
+    this->parser.reset(); // The connection may linger, and the head is not needed.
     this->writeHead(status, headers, "Content-Length: 0\r\n");
     this->closeAfterWriting();
 }
--- a/src/forwarding/callerconnection.h
+++ b/src/forwarding/callerconnection.h
@@ -74,8 +74,8 @@
 
     CallerConnection* connection;
     CallerMessage message;
-    BufferBudget::Account buffered; ///< For the body of the request, which is kept for all attempts.
-    std::optional<BodyAdmission::Share> admitted; ///< For the same body.
+    BufferBudget::Account buffered; ///< For the request, which is kept for all attempts.
+    std::optional<BodyAdmission::Share> admitted; ///< For the same bytes.
 };
 
 /**
@@ -128,9 +128,9 @@
 
     auto readable() -> void;
     auto parseInput() -> void;
-    auto headReceived(const MessageHead&) -> void;
+    auto headReceived() -> void;
     auto bodyReceived(std::string_view) -> void;
-    [[nodiscard]] auto admits(std::size_t bodyBytes) const -> bool;
+    [[nodiscard]] auto admits(std::size_t bytes) const -> bool;
     auto countIncoming() -> void;
     auto refuse() -> void;
     auto waitForBody() -> void;
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -20,6 +20,7 @@
 
 auto HttpHeaders::add(std::string name, std::string value) -> void
 {
+    this->textBytes += name.capacity() + value.capacity();
     this->headers.push_back({ std::move(name), std::move(value) });
 }
 
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -20,8 +20,9 @@
 public:
     HttpHeaders() = default;
     HttpHeaders(std::initializer_list<HttpHeader> headers)
-        : headers(headers)
     {
+        for (const auto& header : headers)
+            this->add(header.name, header.value);
     }
 
     auto add(std::string name, std::string value) -> void;
@@ -32,11 +33,15 @@
     /** Returns the number of headers called \a name. */
     [[nodiscard]] auto count(std::string_view name) const -> std::size_t;
 
+    /** Returns the bytes of memory that the headers take; many times their bytes on the wire when they are short. */
+    [[nodiscard]] auto memorySize() const -> std::size_t { return this->headers.capacity() * sizeof(HttpHeader) + this->textBytes; }
+
     [[nodiscard]] auto begin() const { return this->headers.begin(); }
     [[nodiscard]] auto end() const { return this->headers.end(); }
 
 private:
     std::vector<HttpHeader> headers;
+    std::size_t textBytes = 0; ///< Memory of names and values.
 };
 
 /** A complete request. */
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 struct http_parser;
 struct http_parser_settings;
@@ -23,6 +24,9 @@
     HttpHeaders headers;
     bool keepsAlive = false; ///< Whether another message may follow on the connection.
     bool hasLength = false; ///< Whether the message itself defines its end, rather than the end of the connection.
+
+    /** Returns the bytes of memory that the head takes. */
+    [[nodiscard]] auto memorySize() const -> std::size_t { return this->method.capacity() + this->target.capacity() + this->headers.memorySize(); }
 };
 
 /** Result of MessageParser::feed(). */
@@ -75,6 +79,9 @@
     [[nodiscard]] auto hasHead() const -> bool { return this->isHeadComplete; }
     [[nodiscard]] auto head() const -> const MessageHead& { return this->current; }
 
+    /** Returns the head, which head() no longer has afterwards. */
+    auto takeHead() -> MessageHead { return std::exchange(this->current, {}); }
+
 private:
     static auto settings() -> const http_parser_settings&;
     static auto self(http_parser*) -> MessageParser*;
--- a/tests/intake/test_crowds.cpp
+++ b/tests/intake/test_crowds.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t whole = std::numeric_limits<std::size_t>::max();
 constexpr std::size_t trickleBytes = 512;
 constexpr auto tricklePause = 100ms;
+constexpr std::size_t linesBytes = 16'000; ///< Below the default limit for a head.
+constexpr std::size_t shortBodyBytes = 4'000;
+constexpr int headCallers = 200; ///< Their heads together take a tenth of the memory on the wire.
 constexpr int bodyCallers = 60; ///< Their bodies together take more than seven times the memory.
 
 auto headOf(const std::string& lengthLine) -> std::string
@@ -53,6 +56,16 @@
     return Testkit::makeRequest("/once/", "open") + lengthRequest(1);
 }
 
+/** Returns a request whose head has many short lines, without its last \a missing bytes. */
+auto manyLinesRequest(std::size_t missing) -> std::string
+{
+    std::string lines = "Content-Length: " + std::to_string(shortBodyBytes);
+    while (lines.size() < linesBytes)
+        lines += "\r\na:";
+    const auto request = headOf(lines) + std::string(shortBodyBytes, 'a');
+    return request.substr(0, request.size() - missing);
+}
+
 auto nothing() -> std::string
 {
     return {};
@@ -79,6 +92,9 @@
     { "bodies that trickle", [] { return lengthRequest(0); }, mebibyte, bodyCallers, 1'024, true },
     { "connections that send nothing", nothing, whole, 120, 96 },
     { "incomplete bodies on more connections than descriptors", [] { return lengthRequest(1).substr(0, 100'000); }, whole, 120, 96 },
+    { "heads of many lines whose bodies lack a byte", [] { return manyLinesRequest(1); }, whole, headCallers, 1'024 },
+    { "heads of many lines that lack their end", [] { return manyLinesRequest(shortBodyBytes + 1); }, whole, headCallers, 1'024 },
+    { "whole requests with heads of many lines", [] { return manyLinesRequest(0); }, whole, headCallers, 1'024 },
     { "a large body behind an open request", pipelinedRequests, pieceBytes, bodyCallers, 1'024 },
 };
 
