Traffic: Limited what is kept of prompts with many parts

Cause: a node kept an entry for each part of each prompt for 20 s, without a limit, and once a server had more than 4,096 of them, each further request walked through all. The choice of a server looked up all parts for each candidate, too.

Ruled out: the evidence of crashes, which considers the first 16 parts, and the reading of the header, which is linear.

Change: the first 64 parts of a prompt count for its cached prefix; ordinary prompts have a few, and the engine gets the header unchanged. A purge of a server's prefixes waits until they have doubled, and all are forgotten when over 8,192 have not expired.

--- a/src/forwarding/forwardrun.cpp
+++ b/src/forwarding/forwardrun.cpp
@@ -234,7 +234,7 @@
 
 auto ForwardRun::responseCompleted(ForwardAttempt& current) -> void
 {
-    // A caller sends a request that counts as not run again.
+    // A caller repeats a request when the status says that it has not run.
     const auto isUnconfirmedRefusal = current.isUnconfirmedRefusal() && !this->details.isRepeatable();
     if ((current.status < firstServerErrorStatus && !isUnconfirmedRefusal) || current.isEventStream) {
         this->endAttempt(AttemptEnd::Finished);
--- a/src/traffic/cacheawarepolicy.cpp
+++ b/src/traffic/cacheawarepolicy.cpp
@@ -24,7 +24,9 @@
 constexpr std::chrono::milliseconds otherReportAge = 250ms; ///< Mean age of the other nodes' reports when this node reports: half of the period.
 constexpr auto loadLifetime = 2s; ///< Time over which the weight of an observed load falls to zero.
 constexpr int errorsBeforeAvoidance = 2; ///< Consecutive errors after which a server is avoided for a while; on a service that fails one request in seven, two in a row occur by chance in one pair of fifty.
+constexpr std::size_t maxParts = 64; ///< Parts of one prompt that are considered, the first ones; callers may name thousands.
 constexpr std::size_t purgeThreshold = 4'096; ///< Cached prefixes of one server above which expired ones are removed.
+constexpr std::size_t maxCachedPrefixes = 16'384; ///< Most cached prefixes of one server; all are forgotten when over half as many have not expired.
 constexpr std::int64_t minMeasuredTokens = 1'000; ///< Length of a prompt's last part, in tokens, from which its prefill outweighs the rest of the time to the first piece.
 constexpr auto homeRateTime = 5s; ///< Time constant of the rate of requests with one home.
 constexpr auto reportDelay = 600ms; ///< Time for which requests at a server are missing in the reports of all nodes.
@@ -32,13 +34,13 @@
 constexpr std::size_t minRateSamples = 8; ///< Measured prefill rates needed before the rate of a pool is known.
 constexpr double idleRateQuantile = 0.9; ///< Quantile of the measured rates that is taken as the rate of an otherwise idle engine.
 
-/** Returns one hash for each part of a prompt, computed over the prefix from the start of the prompt to the end of that part. */
+/** Returns one hash for each of the first parts of a prompt, computed over the prefix from the start of the prompt to the end of that part. */
 auto prefixHashes(std::span<const PromptPart> parts) -> std::vector<std::uint64_t>
 {
     constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15;
     std::vector<std::uint64_t> prefixes;
     std::uint64_t hash = 0;
-    for (const auto& part : parts) {
+    for (const auto& part : parts.first(std::min(parts.size(), maxParts))) {
         hash = (hash ^ part.id) * multiplier;
         hash ^= hash >> 29;
         prefixes.push_back(hash);
@@ -225,12 +227,23 @@
     return std::max<std::int64_t>(0, uncached);
 }
 
+auto CacheAwarePolicy::cachedPrefixes(const std::string& id) const -> std::size_t
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? 0 : found->second.cachedPrefixes.size();
+}
+
 auto CacheAwarePolicy::recordCached(ServerState& state, std::span<const std::uint64_t> prefixes, TimePoint now) -> void
 {
     for (const auto prefix : prefixes)
         state.cachedPrefixes[prefix] = now;
-    if (state.cachedPrefixes.size() > purgeThreshold)
-        std::erase_if(state.cachedPrefixes, [now](const auto& entry) { return now - entry.second >= cacheRetention; });
+    if (state.cachedPrefixes.size() <= state.nextPurge)
+        return;
+    std::erase_if(state.cachedPrefixes, [now](const auto& entry) { return now - entry.second >= cacheRetention; });
+    if (state.cachedPrefixes.size() > maxCachedPrefixes / 2)
+        state.cachedPrefixes.clear();
+    // The next purge waits until the prefixes have doubled, so that its work is spread over the requests that added them.
+    state.nextPurge = std::max(purgeThreshold, 2 * state.cachedPrefixes.size());
 }
 
 auto CacheAwarePolicy::loadObserved(const BackendServer& server, const ObservedLoad& load, TimePoint now) -> void
--- a/src/traffic/cacheawarepolicy.h
+++ b/src/traffic/cacheawarepolicy.h
@@ -78,6 +78,9 @@
     /** Returns the number of servers of which something is known. */
     [[nodiscard]] auto knownServers() const -> std::size_t { return this->servers.size(); }
 
+    /** Returns the number of prefixes that the server \a id is expected to have cached. */
+    [[nodiscard]] auto cachedPrefixes(const std::string& id) const -> std::size_t;
+
 private:
     /** A request that this node sent to a server and that has not ended. */
     struct OpenRequest {
@@ -102,6 +105,7 @@
         TimePoint lastHomeRequest;
         TimePoint observedAt; ///< Time of the last observed load.
         std::unordered_map<std::uint64_t, TimePoint> cachedPrefixes; ///< Prefixes of this node's prompts that the server prefilled, with the time of their last use.
+        std::size_t nextPurge = 0; ///< Number of these prefixes above which expired ones are removed.
     };
 
     /** Estimated load of the other nodes at a server. */
--- a/tests/traffic/test_cacheawarepolicy.cpp
+++ b/tests/traffic/test_cacheawarepolicy.cpp
@@ -1,7 +1,9 @@
 #include "cacheawarepolicy.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
+#include <string>
 #include <vector>
 
 using namespace Primrosefork;
@@ -328,4 +330,40 @@
     }
 }
 
+struct PartsCase {
+    const char* name;
+    std::size_t parts; ///< Of each prompt; none is shared.
+    int requests; ///< In two seconds, so that nothing expires.
+    std::size_t maxKept; ///< Most prefixes that may be kept for one server.
+};
+
+const PartsCase partsCases[] = {
+    { "ordinary prompts", 4, 200, 800 },
+    { "prompts of many parts", 3'000, 400, 16'384 + 3'000 },
+    { "many ordinary prompts", 4, 10'000, 16'384 + 4 },
+};
+
+// Guards against prompts of thousands of parts, after which the work of each request grows with what is kept of the earlier ones.
+TEST_CASE("what is kept of prompts is limited however many parts they have")
+{
+    for (const auto& row : partsCases) {
+        CAPTURE(std::string(row.name));
+        const Pool pool(1, BackendKind::Engine);
+        CacheAwarePolicy policy(1);
+        std::uint64_t nextPart = 1;
+        std::size_t mostKept = 0;
+        for (int number = 0; number < row.requests; ++number) {
+            std::vector<PromptPart> parts;
+            for (std::size_t part = 0; part < row.parts; ++part)
+                parts.push_back({ nextPart++, 1 });
+            const auto now = start + 2s * number / row.requests;
+            policy.requestSent(makeRequest(1, parts), pool.servers.front(), now);
+            policy.requestEnded(makeRequest(1, parts), pool.servers.front(), AttemptEnd::Finished, now);
+            mostKept = std::max(mostKept, policy.cachedPrefixes("s0"));
+        }
+        CHECK(mostKept > 0);
+        CHECK(mostKept <= row.maxKept);
+    }
+}
+
 } // namespace
