--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -367,6 +367,71 @@
             writer.close()
 
 
+class Engine:
+    """A model engine that answers with a stream of events, in chunks, and goes on after Last-Event-Id.
+
+    spoil(request id, whole answer so far) may be set; it returns the header lines to add and a function that encodes each event.
+    """
+
+    def __init__(self, record, server_id, events, pause, spoil=None):
+        self.record = record
+        self.id = server_id
+        self.events = events
+        self.pause = pause
+        self.spoil = spoil
+        self.runs = []  # (time, request id, number of the first event)
+
+    async def listen(self, port):
+        self.port = port
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+
+    def entry(self, service, zone):
+        return json.dumps({"backend": service, "address": "127.0.0.1:%d" % self.port, "zone": zone, "version": "v1", "capacity": 64, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1700000000000,
+                           "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}]}).encode()
+
+    @staticmethod
+    def event(request, number):
+        return ("id: %d\ndata: %s piece %d\n\n" % (number, request, number)).encode()
+
+    def whole(self, request):
+        return b"".join(self.event(request, number) for number in range(1, self.events + 1))
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if not head:
+                    return
+                await reader.readexactly(int(head.get("content-length", "0")))
+                request = head.get("x-attempt-id", "")
+                if head.get("x-expect-instance") not in (None, self.id):
+                    writer.write(b"HTTP/1.1 421 x\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n" % self.id.encode())
+                    continue
+                after = int(head.get("last-event-id", "0"))
+                self.runs.append((time.time(), request, after + 1))
+                more, encode, end = self.spoil(request) if self.spoil else ("", lambda text: text, b"")
+                self.record.write("engine", self.id, "runs", request, "from event", after + 1, more.strip())
+                await asyncio.sleep(self.pause)
+                writer.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s.%s\r\nX-Weight-Versions: 1\r\nX-Instance-Load: 1,0,64\r\nKeep-Alive: timeout=10\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+                              % (request, self.id, request, more)).encode())
+                for number in range(after + 1, self.events + 1):
+                    self.chunk(writer, encode(self.event(request, number)))
+                    await writer.drain()
+                    await asyncio.sleep(self.pause)
+                self.chunk(writer, end)
+                writer.write(b"0\r\n\r\n")
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    @staticmethod
+    def chunk(writer, text):
+        if text:
+            writer.write(b"%x\r\n" % len(text) + text + b"\r\n")
+
+
 def configuration(version, routes, services, tenants, limits=None):
     return json.dumps({"version": version, "routes": routes, "services": services, "limits": limits or {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}, "tenants": tenants}).encode()
 
@@ -448,6 +513,38 @@
             writer.close()
 
 
+async def stream_request(port, text, limit):
+    """Sends one request on a new connection; returns the head of the answer, the body as far as it came, and whether it is whole."""
+    writer = None
+    head = None
+    body = b""
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1)
+        writer.write(text)
+
+        async def read():
+            nonlocal head, body
+            head = await read_head(reader)
+            if not head:
+                return False
+            if head.get("transfer-encoding", "").lower() != "chunked":
+                body = await reader.readexactly(int(head.get("content-length", "0")))
+                return True
+            while True:
+                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                body += (await reader.readexactly(size + 2))[:size]
+                if size == 0:
+                    return True
+
+        is_whole = await asyncio.wait_for(read(), limit)
+        return head, body, is_whole
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        return head, body, False
+    finally:
+        if writer:
+            writer.close()
+
+
 async def read_answer(reader):
     head = await read_head(reader)
     if not head:
