--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,112 +1,106 @@
-"""One of four servers of a plain service crashes while it answers idempotent requests with text/event-stream."""
+"""The leader is cut off from the store while it stores a usage window; another node leads and reports the window; then the store comes back from a copy."""
 import asyncio
+import json
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib-3"))
+sys.path.insert(0, os.environ.get("LIB3") or os.path.join(HERE, "..", "lib-3"))
 from standins import *  # noqa
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROWS = 10
-REQUESTS = 120
-
-
-class Feed(PlainServer):
-    """A sound server whose answer is a short series of events, which it sends as they arise."""
-
-    def __init__(self, record, server_id):
-        super().__init__(record, server_id, None)
-        self.open = set()
-        self.is_down = False
-
-    @staticmethod
-    def row(number):
-        return b"data: row %d\n\n" % number
-
-    @classmethod
-    def whole(cls):
-        return b"".join(cls.row(number) for number in range(ROWS))
-
-    async def serve(self, reader, writer):
-        self.open.add(writer)
-        try:
-            while True:
-                head = await read_head(reader)
-                if not head or self.is_down:
-                    return
-                await reader.readexactly(int(head.get("content-length", "0")))
-                request_id = head.get("x-attempt-id", "")
-                self.record.write("server", self.id, "runs", request_id)
-                writer.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s.%s\r\nX-Instance-Load: 1,0,6\r\nKeep-Alive: timeout=10\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                              % (request_id, self.id, request_id)).encode())
-                for number in range(ROWS):
-                    Engine.chunk(writer, self.row(number))
-                    await writer.drain()
-                    await asyncio.sleep(0.03)
-                writer.write(b"0\r\n\r\n")
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            self.open.discard(writer)
-            writer.close()
-
-    def crash(self):
-        self.is_down = True
-        self.server.close()
-        for writer in list(self.open):
-            writer.transport.abort()
+WINDOW = 5.0
 
 
 async def main(record, scratch, nodes):
-    ports = free_ports(10)
+    ports = free_ports(3 * 4 + 3 + 2)
+    store_ports, cloud_port, server_port = ports[12:15], ports[15], ports[16]
     store = Store(record)
-    await store.listen([ports[4]])
+    await store.listen(store_ports)
     cloud = Cloud(record)
-    await cloud.listen(ports[5])
-    servers = [Feed(record, "i-%d" % number) for number in range(1, 5)]
-    for server, port in zip(servers, ports[6:]):
-        await server.listen(port)
-        store.put("servers/" + server.id, server.entry("app", "a"))
+    await cloud.listen(cloud_port)
+    server = PlainServer(record, "i-1", lambda head: float(head.get("x-work", "0.03")))
+    await server.listen(server_port)
+    store.put("servers/i-1", server.entry("app", "a"))
     store.put("op/config", configuration(1, [
-        {"name": "r-read", "host": "app.example", "prefix": "/read/", "route-type": "idempotent", "timeout-ms": 3000, "slo-ms": 300, "priority": 0, "backend": "app", "max-attempts": 2, "public": False}],
+        {"name": "r-write", "host": "app.example", "prefix": "/write/", "route-type": "non_idempotent", "timeout-ms": 6000, "slo-ms": 300, "priority": 0, "backend": "app", "max-attempts": 1, "public": False}],
         [{"name": "app", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": False}],
         [{"name": "salon", "api-keys": ["k1"], "priority": 1, "rate-per-s": 0, "burst": 0}]))
-    node = Node("edge-a-1", "a", ports[4], ports[5], ports[:4], scratch)
-    nodes.append(node)
-    node.start()
-    if not await wait_until(lambda: is_ready(node), 10):
+    for index, zone in enumerate("abc"):
+        nodes.append(Node("edge-%s-1" % zone, zone, store_ports[index], cloud_port, ports[4 * index:4 * index + 4], scratch))
+        nodes[-1].start()
+    for node in nodes:
+        if not await wait_until(lambda: is_ready(node), 10):
+            record.write(node.name, "is not ready")
+            return None
+    sent = [0]
+
+    async def send(node, work, limit):
+        sent[0] += 1
+        name = "q%d" % sent[0]
+        record.write("client sends", name, "to", node.name, "work", work)
+        status, _ = await request(node.front, client_request("POST", "/write/x", name, "k1", int(limit * 1000), b"x", "X-Work: %s\r\n" % work), limit + 1)
+        record.write("client got", status, "for", name)
+
+    async def traffic():
+        while True:
+            for node in nodes:
+                asyncio.ensure_future(send(node, 0.03, 3))
+                await asyncio.sleep(0.1)
+
+    task = asyncio.ensure_future(traffic())
+
+    def leader():
+        text = store.value("primrosefork/leader")
+        return json.loads(text)["id"] if text else None
+
+    # A window that ends well after the leader has reported one.
+    if not await wait_until(lambda: any(path == "/usage" for _, path, *_ in cloud.accepted), 30):
         return None
-    await asyncio.sleep(2)
-    wrong = []
-    right = [0]
+    end = (int((time.time() + 2.5) / WINDOW) + 1) * WINDOW
+    window = int(end / WINDOW) - 1
 
-    async def ask(number):
-        name = "q%d" % number
-        head, body, is_whole = await stream_request(node.front, client_request("GET", "/read/x", name, "k1", 3000), 4)
-        status = int(head.line.split(" ")[1]) if head else 0
-        if is_whole and status == 200 and body == Feed.whole():
-            right[0] += 1
-            return
-        record.write("client: answer to", name, "status", status, "seal", head and head.get("x-response-seal"), "complete" if is_whole else "cut off", body)
-        if is_whole and status == 200:
-            wrong.append(name)
+    async def at(seconds):
+        await asyncio.sleep(max(0, end + seconds - time.time()))
 
-    tasks = []
-    for number in range(REQUESTS):
-        tasks.append(asyncio.ensure_future(ask(number)))
-        await asyncio.sleep(0.05)
-        if number == REQUESTS // 2 and TROUBLE:
-            record.write("trouble: server", servers[0].id, "crashes; it does not come back")
-            servers[0].crash()
-        if number == REQUESTS // 2 + 55 and TROUBLE:
-            store.remove("servers/" + servers[0].id)  # three heartbeats of silence
-    await asyncio.gather(*tasks)
-    record.write("right answers:", right[0], "of", REQUESTS, "complete successes with a wrong body:", len(wrong))
-    if right[0] < REQUESTS / 2:
+    await at(-0.5)
+    first = next(node for node in nodes if node.name == leader())
+    other = next(node for node in nodes if node is not first)
+    record.write("window", window, "ends in 0.5 s; the leader is", first.name)
+    asyncio.ensure_future(send(other, 3.0, 5))
+    await at(1.3)
+    if leader() != first.name:
+        return None
+    if TROUBLE:
+        record.write("trouble:", first.name, "is cut off from the store")
+        store.cut[first.store_port].clear()
+    await at(3.2)
+    copy = store.backup()
+    record.write("a copy of the store is made; its leader's key:", leader())
+    await at(5.5)
+    if TROUBLE:
+        record.write("the cut ends; the leader is", leader())
+        store.cut[first.store_port].set()
+    await at(6.2)
+    if TROUBLE:
+        record.write("trouble: the store is away")
+        store.away = True
+        store.close_all()
+        await at(6.5)
+        store.restore(copy)
+        store.away = False
+        record.write("the store is back from the copy, which is 3.3 s old")
+    await at(11)
+    task.cancel()
+    held = True
+    for number, counts in sorted(cloud.usage().items()):
+        record.write("window", number, "accepted:", counts)
+        if len(counts) > 1:
+            held = False
+    if window not in cloud.usage():
         return None
-    return not wrong
+    return held
 
 
 run(main, HERE)
