--- a/review/13/case.py
+++ b/review/13/case.py
@@ -14,7 +14,7 @@
 
 
 async def main(record, scratch, nodes):
-    ports = free_ports(3 * 4 + 3 + 2)
+    ports = free_ports(3 * 4 + 3 + 3)
     store_ports, cloud_port, server_port = ports[12:15], ports[15], ports[16]
     store = Store(record)
     await store.listen(store_ports)
@@ -23,9 +23,14 @@
     server = PlainServer(record, "i-1", lambda head: float(head.get("x-work", "0.03")))
     await server.listen(server_port)
     store.put("servers/i-1", server.entry("app", "a"))
+    slow = PlainServer(record, "e-1", lambda head: 6.0)  # a model engine whose first token does not come within the timeout of the route
+    await slow.listen(ports[17])
+    store.put("servers/e-1", json.dumps(dict(json.loads(slow.entry("llm", "a")), stage="both", models=[{"name": "m", "version": 1, "adapters": []}])).encode())
     store.put("op/config", configuration(1, [
-        {"name": "r-write", "host": "app.example", "prefix": "/write/", "route-type": "non_idempotent", "timeout-ms": 6000, "slo-ms": 300, "priority": 0, "backend": "app", "max-attempts": 1, "public": False}],
-        [{"name": "app", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": False}],
+        {"name": "r-write", "host": "app.example", "prefix": "/write/", "route-type": "non_idempotent", "timeout-ms": 1000, "slo-ms": 150, "priority": 0, "backend": "app", "max-attempts": 1, "public": False},
+        {"name": "r-chat", "host": "app.example", "prefix": "/chat/", "route-type": "streaming", "timeout-ms": 4000, "slo-ms": 500, "priority": 0, "backend": "llm", "max-attempts": 2, "public": False, "affinity": True, "can-resume": True, "gap-aim-ms": 250}],
+        [{"name": "app", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": False},
+         {"name": "llm", "health-path": "/healthz", "max-conns": 370, "protocol": "h1", "tls": False, "engine": {"capacity": 64, "kv-tokens": 354809, "stride": 3, "models": [{"name": "m"}]}}],
         [{"name": "salon", "api-keys": ["k1"], "priority": 1, "rate-per-s": 0, "burst": 0}]))
     for index, zone in enumerate("abc"):
         nodes.append(Node("edge-%s-1" % zone, zone, store_ports[index], cloud_port, ports[4 * index:4 * index + 4], scratch))
@@ -36,17 +41,17 @@
             return None
     sent = [0]
 
-    async def send(node, work, limit):
+    async def send(node, path, more, limit):
         sent[0] += 1
         name = "q%d" % sent[0]
-        record.write("client sends", name, "to", node.name, "work", work)
-        status, _ = await request(node.front, client_request("POST", "/write/x", name, "k1", int(limit * 1000), b"x", "X-Work: %s\r\n" % work), limit + 1)
+        record.write("client sends", name, path, "to", node.name)
+        status, _ = await request(node.front, client_request("POST", path, name, "k1", int(limit * 1000), b"x", more), limit + 1)
         record.write("client got", status, "for", name)
 
     async def traffic():
         while True:
             for node in nodes:
-                asyncio.ensure_future(send(node, 0.03, 3))
+                asyncio.ensure_future(send(node, "/write/x", "", 1))
                 await asyncio.sleep(0.1)
 
     task = asyncio.ensure_future(traffic())
@@ -64,11 +69,11 @@
     async def at(seconds):
         await asyncio.sleep(max(0, end + seconds - time.time()))
 
-    await at(-0.5)
+    await at(-0.8)
     first = next(node for node in nodes if node.name == leader())
     other = next(node for node in nodes if node is not first)
-    record.write("window", window, "ends in 0.5 s; the leader is", first.name)
-    asyncio.ensure_future(send(other, 3.0, 5))
+    record.write("window", window, "ends in 0.8 s; the leader is", first.name)
+    asyncio.ensure_future(send(other, "/chat/x", "X-Model: m\r\nX-Token-Counts: 100,24\r\nX-Prompt-Prefix: 5c1e07a2:50,91bd3f06:50\r\n", 4))
     await at(1.3)
     if leader() != first.name:
         return None
