Usage: Reported counts only once the store has acknowledged them

Cause: UsageController kept the counts of each attempt to store a window as this node's own before the write was acknowledged, and took them for known also when another node had stored and reported the window. On the same path a record that a late write had left after a restoration was believed.

Change: UsageRecord decides what is certain. Counts are certain from the acknowledgement on, or when a record shows them; of a record of an earlier epoch the newest window is not believed, since it may be that of a write that was carried out late. Windows are closed up to the beginning of the leadership. Lines 6104 and 6105 show stored and closed windows.

--- a/src/gateway/usagecontroller.cpp
+++ b/src/gateway/usagecontroller.cpp
@@ -15,28 +15,12 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
-constexpr auto epochField = "epoch"; ///< Epoch of the store in which the record was written.
-constexpr auto closedField = "closed";
 constexpr auto usageKey = "primrosefork/usage";
 constexpr std::chrono::milliseconds tickPeriod = 500ms;
 constexpr std::chrono::milliseconds reportDelay = 1'700ms; ///< Time after the end of a window in which each node sends two reports and they arrive.
-constexpr std::size_t keptWindows = 6; ///< Number of windows in the record; older ones are no longer due.
-
-/** Returns the counts in \a json, or nothing when they are not a number for each workspace. */
-auto readCounts(const Json& json) -> std::optional<UsageCounts>
-{
-    if (!json.is_object())
-        return std::nullopt;
-    UsageCounts counts;
-    for (const auto& [workspace, count] : json.items()) {
-        if (!count.is_number_unsigned())
-            return std::nullopt;
-        counts[workspace] = count.template get<std::uint64_t>();
-    }
-    return counts;
-}
+constexpr std::chrono::milliseconds maxClockDifference = 500ms; ///< Largest difference of two nodes' clocks that is expected.
+constexpr UsageWindow dueWindows = 6; ///< Number of windows that are looked at; older ones are no longer due.
+constexpr std::size_t keptReported = 12;
 
 } // namespace
 
@@ -54,6 +38,7 @@
     , timer(loop, [this] { this->tick(); })
     , isAlive(std::make_shared<bool>(true))
 {
+    board.leadership.changed.connect([this](const Leadership& current) { this->leadershipChanged(current); });
 }
 
 UsageController::~UsageController()
@@ -83,37 +68,34 @@
     return at >= end + reportDelay && at < end + this->settings.bounds.usageDue;
 }
 
-auto UsageController::tick() -> void
+auto UsageController::leadershipChanged(const Leadership& current) -> void
 {
-    if (!this->hasValidLease()) {
-        this->record = {};
+    if (!current.isOwn || current.fence == this->fence)
         return;
-    }
-    const auto currentFence = this->board.leadership.value().fence;
-    if (this->fence != currentFence) {
-        this->fence = currentFence;
-        this->record = {};
-        this->isStoring = false;
-        this->isFetching = false;
-    }
-    if (!this->record.isLoaded)
+    this->fence = current.fence;
+    this->leadingSince = BootClock::now();
+    this->record.release();
+    this->isStoring = false;
+    this->isFetching = false;
+}
+
+auto UsageController::tick() -> void
+{
+    if (!this->hasValidLease())
+        return this->record.release();
+    if (!this->record.isRead())
         return this->fetchRecord();
     const auto now = this->clock.at(EventLoop::now());
-    for (auto window = this->windowAt(now) - static_cast<UsageWindow>(keptWindows); window < this->windowAt(now); ++window) {
+    for (auto window = this->windowAt(now) - dueWindows; window < this->windowAt(now); ++window) {
         if (!this->isDue(window, now) || this->reported.contains(window))
             continue;
-        if (this->record.windows.contains(window))
+        if (this->record.countsOf(window))
             this->reportWindow(window);
-        else if (!this->isLost(window))
+        else if (this->record.mayStore(window))
             this->storeWindow(window);
     }
 }
 
-auto UsageController::isLost(UsageWindow window) const -> bool
-{
-    return window <= this->record.closed && !this->ownCounts.contains(window);
-}
-
 auto UsageController::fetchRecord() -> void
 {
     if (std::exchange(this->isFetching, true))
@@ -129,30 +111,18 @@
 
 auto UsageController::readRecord(const std::optional<StoreEntry>& entry) -> void
 {
-    Record read;
-    read.isLoaded = true;
-    if (entry) {
-        read.revision = entry->revision;
-        const auto json = Json::parse(entry->value, nullptr, false);
-        if (json.is_object()) {
-            for (const auto& [window, counts] : json.items()) {
-                if (window == epochField || window == closedField)
-                    continue;
-                if (auto decoded = readCounts(counts))
-                    read.windows[std::strtoll(window.c_str(), nullptr, 10)] = std::move(*decoded);
-                else
-                    this->log.write(Event::UsageRecordUnreadable, { { "window", window } });
-            }
-        }
-    }
-    // A record from a copy of the store may lack windows that were reported. Those that can have been stored before end now.
-    const auto json = entry ? Json::parse(entry->value, nullptr, false) : Json();
-    const auto writtenIn = json.is_object() && json.contains(epochField) && json[epochField].is_number_unsigned() ? json[epochField].get<StoreEpoch>() : 0;
-    if (json.is_object() && json.contains(closedField) && json[closedField].is_number_integer())
-        read.closed = json[closedField].get<UsageWindow>();
-    if (writtenIn < epochOf(this->fence))
-        read.closed = std::max(read.closed, this->windowAt(this->clock.at(EventLoop::now()) - reportDelay) - 1);
-    this->record = std::move(read);
+    this->revision = entry ? entry->revision : 0;
+    const auto epoch = entry ? epochOf(entry->revision) : this->store.currentEpoch();
+    for (const auto& name : this->record.read(entry ? std::optional(entry->value) : std::nullopt, epoch, this->lastStorable(this->leadingSince)))
+        this->log.write(Event::UsageRecordUnreadable, { { "window", name } });
+    if (this->record.closedUpTo() > 0)
+        this->log.write(Event::UsageWindowsClosed, { { "window", std::to_string(this->record.closedUpTo()) }, { "epoch", std::to_string(epoch) }, { "fence", std::to_string(this->fence) } });
+}
+
+auto UsageController::lastStorable(BootClock::time_point moment) const -> UsageWindow
+{
+    const auto age = std::chrono::duration_cast<WallClock::Wall>(BootClock::now() - moment);
+    return this->windowAt(this->clock.at(EventLoop::now()) - age + maxClockDifference - reportDelay) - 1;
 }
 
 auto UsageController::sumCounts(UsageWindow window) const -> UsageCounts
@@ -179,53 +149,36 @@
     if (this->isStoring)
         return;
     this->isStoring = true;
-    auto windows = this->record.windows;
-    const auto own = this->ownCounts.find(window);
-    windows[window] = own != this->ownCounts.end() ? own->second : this->sumCounts(window);
-    this->keepCounts(window, windows[window]);
-    while (windows.size() > keptWindows)
-        windows.erase(windows.begin());
-    Json json = Json::object();
-    for (const auto& [number, counts] : windows)
-        json[std::to_string(number)] = counts;
-    json[epochField] = epochOf(this->fence);
-    json[closedField] = this->record.closed;
-    this->store.compareAndSwap({ usageKey, this->record.revision, json.dump(-1, ' ', false, Json::error_handler_t::replace), 0 },
-        [this, window, windows, usedFence = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
-            if (!*alive || usedFence != this->fence)
-                return;
-            this->isStoring = false;
-            // The write failed or its outcome is unknown: the record is read again before anything is reported.
-            if (error || !result.isSwapped) {
-                this->record = {};
-                return;
-            }
-            this->record.windows = windows;
-            this->record.revision = result.current.revision;
-            if (this->hasValidLease())
-                this->reportWindow(window);
-        });
-}
-
-auto UsageController::keepCounts(UsageWindow window, const UsageCounts& counts) -> void
-{
-    this->ownCounts.emplace(window, counts);
-    while (this->ownCounts.size() > 2 * keptWindows)
-        this->ownCounts.erase(this->ownCounts.begin());
+    auto proposal = this->record.propose(window, this->sumCounts(window));
+    const StoreSwap swap { usageKey, this->revision, proposal.text, 0 };
+    this->store.compareAndSwap(swap, [this, window, proposal = std::move(proposal), usedFence = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+        if (!*alive || usedFence != this->fence)
+            return;
+        this->isStoring = false;
+        // The write failed or its outcome is unknown: the record is read again before anything is reported.
+        if (error || !result.isSwapped)
+            return this->record.release();
+        this->revision = result.current.revision;
+        this->record.acknowledge(proposal);
+        this->log.write(Event::UsageStored, { { "window", std::to_string(window) }, { "fence", std::to_string(usedFence) } });
+        if (this->hasValidLease())
+            this->reportWindow(window);
+    });
 }
 
 auto UsageController::reportWindow(UsageWindow window) -> void
 {
-    if (!this->inFlight.insert(window).second)
+    const auto* counts = this->record.countsOf(window);
+    if (!counts || !this->inFlight.insert(window).second)
         return;
     const FencingToken mark { this->settings.id, this->fence };
-    this->fleet.reportUsage(mark, window, this->record.windows[window], [this, window, usedFence = this->fence, alive = this->isAlive](std::error_code error) {
+    this->fleet.reportUsage(mark, window, *counts, [this, window, usedFence = this->fence, alive = this->isAlive](std::error_code error) {
         if (!*alive)
             return;
         this->inFlight.erase(window);
         if (!error) {
             this->reported.insert(window);
-            while (this->reported.size() > 2 * keptWindows)
+            while (this->reported.size() > keptReported)
                 this->reported.erase(this->reported.begin());
             this->metrics.count("usage_reports_total");
             return this->log.write(Event::UsageReported, { { "window", std::to_string(window) }, { "fence", std::to_string(usedFence) } });
@@ -238,7 +191,7 @@
 
 auto UsageController::dumpState() const -> nlohmann::json
 {
-    return { { "stored_windows", this->record.windows.size() }, { "reported_windows", this->reported.size() } };
+    return { { "stored_windows", this->record.size() }, { "closed_up_to", this->record.closedUpTo() }, { "reported_windows", this->reported.size() } };
 }
 
 } // namespace Primrosefork
--- a/src/gateway/usagecontroller.h
+++ b/src/gateway/usagecontroller.h
@@ -6,9 +6,9 @@
 #include "gatewaysettings.h"
 #include "keyvaluestore.h"
 #include "leadershipcontroller.h"
+#include "usagerecord.h"
 #include "wallclock.h"
 
-#include <map>
 #include <memory>
 #include <set>
 
@@ -20,8 +20,8 @@
 /**
  * Reports the usage of each accounting window to the fleet API, on the leader.
  *
- * The counts of a window are written to the store before they are reported, so
- * that repeated reports, also those of a later leader, have the same counts.
+ * The counts of a window are reported once the store has acknowledged them, so that
+ * repeated reports, also those of a later leader, have the same counts.
  */
 class UsageController : public StateSource {
 public:
@@ -35,23 +35,17 @@
     [[nodiscard]] auto dumpState() const -> nlohmann::json override;
 
 private:
-    /** The counts of the last windows as the store has them. */
-    struct Record {
-        std::map<UsageWindow, UsageCounts> windows;
-        StoreRevision revision = 0; ///< Revision of the stored entry; 0 when there is none.
-        bool isLoaded = false;
-        UsageWindow closed = 0; ///< Windows up to this one that are missing may have been reported by a record that was lost; they are not reported.
-    };
-
     auto tick() -> void;
+    auto leadershipChanged(const Leadership&) -> void;
     auto fetchRecord() -> void;
     auto readRecord(const std::optional<StoreEntry>&) -> void;
     auto storeWindow(UsageWindow window) -> void;
     auto reportWindow(UsageWindow window) -> void;
     [[nodiscard]] auto sumCounts(UsageWindow window) const -> UsageCounts;
     [[nodiscard]] auto hasValidLease() const -> bool;
-    [[nodiscard]] auto isLost(UsageWindow window) const -> bool;
-    auto keepCounts(UsageWindow window, const UsageCounts&) -> void;
+
+    /** Returns the last window that another node, whose clock may be ahead, can have stored by \a moment. */
+    [[nodiscard]] auto lastStorable(BootClock::time_point moment) const -> UsageWindow;
     [[nodiscard]] auto windowAt(WallClock::Wall at) const -> UsageWindow;
     [[nodiscard]] auto isDue(UsageWindow window, WallClock::Wall at) const -> bool;
 
@@ -65,10 +59,11 @@
     Metrics& metrics;
     const EventLog& log;
     Timer timer;
-    Record record;
-    std::uint64_t fence = 0; ///< Fence of this node's leadership when the record was read.
+    UsageRecord record;
+    StoreRevision revision = 0; ///< Revision of the stored record; 0 when there is none.
+    std::uint64_t fence = 0; ///< Fence of this node's last leadership.
+    BootClock::time_point leadingSince; ///< Time at which that began.
     std::set<UsageWindow> reported; ///< Windows whose report was accepted.
-    std::map<UsageWindow, UsageCounts> ownCounts; ///< Counts of the last windows that this node has stored or tried to; a window keeps its counts.
     std::set<UsageWindow> inFlight; ///< Windows whose report has not been answered yet.
     bool isStoring = false; ///< A write of the record is in flight.
     bool isFetching = false; ///< A read of the record is in flight.
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -64,6 +64,8 @@
     EventDescription { Event::UsageReported, Severity::Info, "usageReported" },
     EventDescription { Event::UsageNotReported, Severity::Warning, "usageNotReported" },
     EventDescription { Event::UsageRecordUnreadable, Severity::Error, "usageRecordUnreadable" },
+    EventDescription { Event::UsageStored, Severity::Info, "usageStored" },
+    EventDescription { Event::UsageWindowsClosed, Severity::Info, "usageWindowsClosed" },
     EventDescription { Event::EnginesOrdered, Severity::Info, "enginesOrdered" },
     EventDescription { Event::EngineOrderFailed, Severity::Warning, "engineOrderFailed" },
     EventDescription { Event::QuotaAccountOpened, Severity::Info, "quotaAccountOpened" },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -74,6 +74,8 @@
     UsageReported = 6101,
     UsageNotReported = 6102,
     UsageRecordUnreadable = 6103,
+    UsageStored = 6104,
+    UsageWindowsClosed = 6105,
     EnginesOrdered = 6201,
     EngineOrderFailed = 6202,
     QuotaAccountOpened = 6301,
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
+#include <utility>
 
 namespace Primrosefork::Testkit {
 
@@ -242,18 +243,35 @@
     this->reply(exchange, HttpStatus::ok, { { "items", list }, { "more-pages", hasMore }, { "current-rev", this->revision } });
 }
 
-auto StoreStandIn::transact(const std::shared_ptr<HttpExchange>& exchange) -> void
+auto StoreStandIn::failedCondition(const Json& transaction) const -> std::optional<std::string>
 {
-    const auto body = Json::parse(exchange->request().body);
-    for (const auto& expected : body["expect-rev"]) {
+    for (const auto& expected : transaction["expect-rev"]) {
         const auto key = expected["key"].get<std::string>();
         const auto found = this->items.find(key);
         const auto exists = found != this->items.end() && !found->second.isDeleted;
-        if ((exists ? found->second.revision : 0) == expected["revision"].get<std::uint64_t>())
-            continue;
+        if ((exists ? found->second.revision : 0) != expected["revision"].get<std::uint64_t>())
+            return key;
+    }
+    return std::nullopt;
+}
+
+auto StoreStandIn::transact(const std::shared_ptr<HttpExchange>& exchange) -> void
+{
+    const auto body = Json::parse(exchange->request().body);
+    auto outcome = this->dropsWriteAnswers ? WriteOutcome::AnswerLost : WriteOutcome::Answered;
+    for (const auto& put : body["puts"]) {
+        if (const auto found = this->writeOutcomes.find(put["key"].get<std::string>()); found != this->writeOutcomes.end())
+            outcome = found->second;
+    }
+    if (outcome == WriteOutcome::Late)
+        this->lateWrites.push_back(exchange->request().body);
+    if (outcome == WriteOutcome::Late || outcome == WriteOutcome::Lost)
+        return exchange->abort();
+    if (const auto key = this->failedCondition(body)) {
         auto list = Json::array();
-        if (exists)
-            list.push_back({ { "key", key }, { "value", found->second.value }, { "revision", found->second.revision } });
+        const auto found = this->items.find(*key);
+        if (found != this->items.end() && !found->second.isDeleted)
+            list.push_back({ { "key", *key }, { "value", found->second.value }, { "revision", found->second.revision } });
         return this->reply(*exchange, 412, { { "items", list }, { "current-rev", this->revision } });
     }
     for (const auto& put : body["puts"]) {
@@ -261,15 +279,30 @@
         if (this->leasesExpire && lease != 0 && !this->leaseEnds.contains(lease))
             return this->reply(*exchange, HttpStatus::notFound, Json::object());
     }
-    for (const auto& put : body["puts"])
-        this->write(put["key"].get<std::string>(), put["value"].get<std::string>(), put.value("lease", std::uint64_t { 0 }), false);
-    if (this->dropsWriteAnswers)
+    this->carryOut(body);
+    if (outcome == WriteOutcome::AnswerLost)
         exchange->abort();
     else
         this->reply(*exchange, HttpStatus::ok, { { "revision", this->revision } });
     this->answerWatches();
 }
 
+auto StoreStandIn::carryOut(const Json& transaction) -> void
+{
+    for (const auto& put : transaction["puts"])
+        this->write(put["key"].get<std::string>(), put["value"].get<std::string>(), put.value("lease", std::uint64_t { 0 }), false);
+}
+
+auto StoreStandIn::carryOutLateWrites() -> void
+{
+    for (const auto& text : std::exchange(this->lateWrites, {})) {
+        const auto transaction = Json::parse(text);
+        if (!this->failedCondition(transaction))
+            this->carryOut(transaction);
+    }
+    this->answerWatches();
+}
+
 auto StoreStandIn::answerWatches() -> void
 {
     if (this->dropsWatches)
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,20 @@
     /** Whether the store carries out transactions but closes the connection instead of answering. */
     bool dropsWriteAnswers = false;
 
+    /** What happens to a write whose connection is closed instead of an answer. */
+    enum class WriteOutcome : std::uint8_t {
+        Answered, ///< It is carried out and answered.
+        AnswerLost, ///< It is carried out at once.
+        Lost, ///< It is never carried out.
+        Late, ///< It is carried out by carryOutLateWrites() if its condition holds then.
+    };
+
+    /** What happens to the writes of some keys; all others are answered. */
+    std::map<std::string, WriteOutcome> writeOutcomes;
+
+    /** Carries out the late writes, in the order in which they arrived. */
+    auto carryOutLateWrites() -> void;
+
     /** Time that the store takes for each answer. */
     std::chrono::milliseconds answerDelay { 0 };
 
@@ -142,6 +157,8 @@
     auto handleNow(const std::shared_ptr<HttpExchange>&, const Address& entrance) -> void;
     auto range(HttpExchange&) -> void;
     auto transact(const std::shared_ptr<HttpExchange>&) -> void;
+    auto carryOut(const nlohmann::json& transaction) -> void;
+    [[nodiscard]] auto failedCondition(const nlohmann::json& transaction) const -> std::optional<std::string>;
     auto write(const std::string& key, const std::string& encoded, std::uint64_t lease, bool isDeleted) -> void;
     auto answerWatches() -> void;
 
@@ -160,6 +177,7 @@
     std::uint64_t restorations = 0; ///< Number of restorations so far, which all answers state.
     std::map<std::uint64_t, EventLoop::TimePoint> leaseEnds; ///< When each lease expires.
     std::deque<DelayedCall> delayedCalls;
+    std::vector<std::string> lateWrites; ///< Transactions that are carried out late.
 };
 
 struct StoreStandIn::Backup {
