Leadership: Told attempts to acquire the key apart by their leases

What callers could see: two nodes that believe that they lead, so calls with two fences in turn.

Cause: a node whose write of the leader's key got no answer reads the key and led if it found its own process there. That may be the key of its earlier leadership, bound to another lease, which nobody renews, or to one that was lost with a restoration, so that other nodes take it after 0.6 s.

Evidence: test_restoredstore, 'a node whose write of the leader key is lost does not lead by its key from the copy', failed on (the node led within 2 s), and passes now with the others (9 cases).

Change: the key holds the lease of the attempt, and only the key of the present attempt counts. Otherwise the node tries again after a second.

Why it works: the lease in the key is the one that the node renews, so the key ends when the node's belief does.

--- a/src/gateway/leadershipcontroller.cpp
+++ b/src/gateway/leadershipcontroller.cpp
@@ -78,10 +78,15 @@
 
 auto LeadershipController::keyValue() const -> std::string
 {
-    const nlohmann::json value { { "id", this->settings.id }, { "address", this->settings.peers.toString() }, { "incarnation", this->incarnation }, { "epoch", this->store.currentEpoch() } };
+    const nlohmann::json value { { "id", this->settings.id }, { "address", this->settings.peers.toString() }, { "incarnation", this->incarnation }, { "epoch", this->store.currentEpoch() }, { "lease", this->lease } };
     return value.dump();
 }
 
+auto LeadershipController::isKeyOfAttempt(const StoreEntry& entry) const -> bool
+{
+    return entry.value == this->keyValue();
+}
+
 auto LeadershipController::leaseEnd(BootClock::time_point leaseStart) const -> BootClock::time_point
 {
     return leaseStart + std::chrono::duration_cast<BootClock::duration>(usableLeasePart * this->settings.bounds.leadership);
@@ -190,17 +195,20 @@
 
 auto LeadershipController::resolveAcquisition(BootClock::time_point requestedAt) -> void
 {
-    // The answer was lost: the value of the key shows which node acquired it.
+    // The answer was lost: the value of the key shows which attempt of which node acquired it.
     this->store.get(leaderKey, [this, requestedAt, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
         if (!*alive)
             return;
         this->isCampaigning = false;
         if (error || !entry)
             return this->candidacyTimer.start(campaignRetryDelay);
-        const auto json = nlohmann::json::parse(entry->value, nullptr, false);
-        if (readText(json, "incarnation") == this->incarnation && BootClock::now() < this->leaseEnd(requestedAt))
+        // A key of an earlier attempt of this process is bound to another lease, which is not renewed.
+        if (this->isKeyOfAttempt(*entry) && BootClock::now() < this->leaseEnd(requestedAt))
             return this->becomeLeader(entry->revision, requestedAt);
         this->leaderKeyRead(*entry);
+        // The store does not carry out writes at present.
+        if (this->candidacyTimer.isRunning())
+            this->scheduleCandidacy(campaignRetryDelay);
     });
 }
 
--- a/src/gateway/leadershipcontroller.h
+++ b/src/gateway/leadershipcontroller.h
@@ -62,6 +62,9 @@
     /** Publishes that no leader is known; the last one coordinates for a while if \a keepsCoordinator. */
     auto publishVacancy(bool keepsCoordinator) -> void;
     [[nodiscard]] auto keyValue() const -> std::string;
+
+    /** Returns whether \a entry is the key as the present attempt to acquire it wrote it, so that it is bound to the present lease. */
+    [[nodiscard]] auto isKeyOfAttempt(const StoreEntry& entry) const -> bool;
     [[nodiscard]] auto leaseEnd(BootClock::time_point leaseStart) const -> BootClock::time_point;
 
     KeyValueStore& store;
--- a/tests/gateway/test_restoredstore.cpp
+++ b/tests/gateway/test_restoredstore.cpp
@@ -277,6 +277,22 @@
     }
 }
 
+// Guards against a leader that takes the key of its earlier leadership, whose lease is gone, for the one that it has just tried to write.
+TEST_CASE("a node whose write of the leader key is lost does not lead by its key from the copy")
+{
+    RestoredFixture fixture;
+    const auto backup = fixture.platform.backup();
+    fixture.platform.writeOutcomes["primrosefork/leader"] = StoreStandIn::WriteOutcome::Lost;
+    fixture.platform.restore(backup);
+    CHECK(fixture.runUntil([&] { return !fixture.isLeading(); }, 1s));
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.isLeading(); }, 2s));
+    fixture.platform.writeOutcomes.clear();
+    REQUIRE(fixture.runUntil([&] { return fixture.isLeading(); }, 3s));
+    // The key ends with the lease that the node renews.
+    fixture.node.reset();
+    CHECK(fixture.runUntil([&] { return fixture.platform.valueOf("primrosefork/leader").empty(); }, 4s));
+}
+
 // Guards against usage that is reported twice with different counts, since the record of what was reported is lost.
 TEST_CASE("a window of usage is reported with the same counts before and after a restoration")
 {
