Leadership: Told whether another node can have led in between

The controllers of a leader hold accounts and decisions in memory, and go on with them when their node leads again. Whether another node has led meanwhile they took from what the node saw, and a node that is cut off from the store sees nothing; after a restoration the key of the copy may be its own again.

Change: the leadership names the fence with which the coordination began. It stays the same only where no other node can have led: the node replaced its own key with the very revision that it had written, or no key soon after its own had ended with the lease. After a restoration that counts only if the lease still held when the node saw it.

Nothing reads the fence yet.

--- a/src/gateway/gatewayboard.h
+++ b/src/gateway/gatewayboard.h
@@ -36,6 +36,7 @@
     Address coordinatorAddress; ///< Address of the leader or the last leader; port 0 when there is none.
     bool isCoordinator = false; ///< Whether that is this node.
     BootClock::time_point coordinatesUntil = BootClock::time_point::max(); ///< Time until which the last leader is asked.
+    std::uint64_t coordinationFence = 0; ///< Fence with which this node's coordination began; the same while no other node can have led since.
 
     /** Returns whether a coordinator can be asked at \a now. */
     [[nodiscard]] auto hasCoordinator(BootClock::time_point now) const -> bool { return this->coordinatorAddress.port != 0 && now < this->coordinatesUntil; }
--- a/src/gateway/gatewaynode.cpp
+++ b/src/gateway/gatewaynode.cpp
@@ -81,7 +81,7 @@
             this->callers.setLimits(inForce.table->configuration().limits);
     });
     this->epochs.changed.connect([this](StoreEpoch epoch) {
-        this->leadership.storeRestored();
+        this->leadership.storeRestored(epoch);
         for (auto* watcher : { &this->traffic.storeWatcher(), &this->registry.storeWatcher(), &this->leadership.storeWatcher() })
             watcher->storeRestored(epoch);
     });
--- a/src/gateway/leadershipcontroller.cpp
+++ b/src/gateway/leadershipcontroller.cpp
@@ -105,6 +105,7 @@
         this->previousKeyRevision = entry.revision;
         return this->scheduleCandidacy(ownKeyDelay);
     }
+    this->ownKey = 0;
     if (this->leadership.value().isOwn)
         this->stepDown("another node took the leadership");
     if (readText(json, "id") == this->settings.id && readText(json, "address") == this->settings.peers.toString()) {
@@ -144,10 +145,28 @@
         this->candidacyTimer.start(delay);
 }
 
-auto LeadershipController::storeRestored() -> void
+auto LeadershipController::storeRestored(StoreEpoch epoch) -> void
 {
-    if (this->leadership.value().isOwn)
-        this->stepDown("the store was restored");
+    if (!this->leadership.value().isOwn)
+        return;
+    const auto number = numberOf(this->leadership.value().fence);
+    const auto wasHeld = this->ownKey != 0 && !this->isLeaseOver();
+    this->stepDown("the store was restored");
+    // While the lease held, no other node can have led before the restoration.
+    this->ownKey = wasHeld ? inEpoch(epoch, number) : 0;
+}
+
+auto LeadershipController::leaseConfirmed(BootClock::time_point leaseStart) -> void
+{
+    this->leaseExpiry = std::max(this->leaseExpiry, leaseStart + this->settings.bounds.leadership);
+}
+
+auto LeadershipController::isContinued(StoreRevision replaced) const -> bool
+{
+    if (replaced != 0)
+        return replaced == this->ownKey;
+    // The key ended with its lease. Another node that took it meanwhile would hold it still.
+    return this->ownKey != 0 && BootClock::now() < this->leaseExpiry + this->settings.bounds.leadership;
 }
 
 auto LeadershipController::candidacyDelay() -> std::chrono::milliseconds
@@ -179,24 +198,25 @@
 auto LeadershipController::acquireKey(LeaseId grantedLease, BootClock::time_point requestedAt) -> void
 {
     this->lease = grantedLease;
-    this->store.compareAndSwap({ leaderKey, this->previousKeyRevision, this->keyValue(), grantedLease }, [this, requestedAt, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+    const auto replaced = this->previousKeyRevision;
+    this->store.compareAndSwap({ leaderKey, replaced, this->keyValue(), grantedLease }, [this, replaced, requestedAt, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
         if (!*alive)
             return;
         if (error)
-            return this->resolveAcquisition(requestedAt);
+            return this->resolveAcquisition(replaced, requestedAt);
         this->isCampaigning = false;
         if (result.isSwapped)
-            return this->becomeLeader(result.current.revision, requestedAt);
+            return this->becomeLeader(result.current.revision, replaced, requestedAt);
         if (result.current.revision == 0)
             return this->leaderKeyRemoved();
         this->leaderKeyRead(result.current);
     });
 }
 
-auto LeadershipController::resolveAcquisition(BootClock::time_point requestedAt) -> void
+auto LeadershipController::resolveAcquisition(StoreRevision replaced, BootClock::time_point requestedAt) -> void
 {
     // The answer was lost: the value of the key shows which attempt of which node acquired it.
-    this->store.get(leaderKey, [this, requestedAt, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
+    this->store.get(leaderKey, [this, replaced, requestedAt, alive = this->isAlive](std::error_code error, const std::optional<StoreEntry>& entry) {
         if (!*alive)
             return;
         this->isCampaigning = false;
@@ -204,7 +224,7 @@
             return this->candidacyTimer.start(campaignRetryDelay);
         // A key of an earlier attempt of this process is bound to another lease, which is not renewed.
         if (this->isKeyOfAttempt(*entry) && BootClock::now() < this->leaseEnd(requestedAt))
-            return this->becomeLeader(entry->revision, requestedAt);
+            return this->becomeLeader(entry->revision, replaced, requestedAt);
         this->leaderKeyRead(*entry);
         // The store does not carry out writes at present.
         if (this->candidacyTimer.isRunning())
@@ -212,13 +232,19 @@
     });
 }
 
-auto LeadershipController::becomeLeader(StoreRevision fence, BootClock::time_point requestedAt) -> void
+auto LeadershipController::becomeLeader(StoreRevision fence, StoreRevision replaced, BootClock::time_point requestedAt) -> void
 {
     if (this->hasResigned)
         return;
+    if (!this->isContinued(replaced) || epochOf(fence) != epochOf(this->ownKey))
+        this->coordinationFence = fence;
+    this->ownKey = fence;
+    this->leaseConfirmed(requestedAt);
     this->previousKeyRevision = 0;
-    this->log.write(Event::LeadershipTaken, { { "fence", std::to_string(fence) } });
-    this->leadership.write({ this->settings.id, this->settings.peers, true, fence, fence, this->leaseEnd(requestedAt), this->settings.peers, true });
+    this->log.write(Event::LeadershipTaken, { { "fence", std::to_string(fence) }, { "continues", std::to_string(this->coordinationFence) } });
+    Leadership own { this->settings.id, this->settings.peers, true, fence, fence, this->leaseEnd(requestedAt), this->settings.peers, true };
+    own.coordinationFence = this->coordinationFence;
+    this->leadership.write(std::move(own));
     this->renewTimer.start(this->settings.bounds.leadership / renewalsPerLease);
 }
 
@@ -226,7 +252,7 @@
 {
     if (!this->leadership.value().isOwn)
         return;
-    if (BootClock::now() >= this->leadership.value().validUntil + (this->settings.bounds.leadership - std::chrono::duration_cast<BootClock::duration>(usableLeasePart * this->settings.bounds.leadership)))
+    if (this->isLeaseOver())
         return this->stepDown("the lease could not be renewed in time");
     const auto requestedAt = BootClock::now();
     this->store.renewLease(this->lease, [this, requestedAt, usedLease = this->lease, alive = this->isAlive](std::error_code error) {
@@ -238,6 +264,7 @@
             return;
         auto current = this->leadership.value();
         current.validUntil = this->leaseEnd(requestedAt);
+        this->leaseConfirmed(requestedAt);
         this->leadership.write(std::move(current));
         this->watcher.confirmUpToDate(requestedAt);
     });
@@ -261,6 +288,7 @@
         vacancy.coordinatorAddress = last.coordinatorAddress;
         vacancy.isCoordinator = last.isCoordinator;
         vacancy.fence = last.fence;
+        vacancy.coordinationFence = last.coordinationFence;
         // Without a leader for longer than this, credentials are not confirmed any more and nothing is left to account for.
         vacancy.coordinatesUntil = std::min(last.coordinatesUntil, BootClock::now() + this->settings.bounds.revocation);
     }
@@ -272,6 +300,7 @@
     if (!this->leadership.value().isOwn)
         return;
     this->stepDown("a newer leader exists");
+    this->ownKey = 0;
     this->previousKeyRevision = 0;
     this->publishVacancy(false);
 }
--- a/src/gateway/leadershipcontroller.h
+++ b/src/gateway/leadershipcontroller.h
@@ -32,8 +32,8 @@
     /** Notes that the leader of \a term answered this node, so that its key is still in place. */
     auto leaderAnswered(std::uint64_t term) -> void;
 
-    /** Gives up the leadership because the store came back from a copy, with which leases may be lost, and stands for it again. */
-    auto storeRestored() -> void;
+    /** Gives up the leadership because the store came back from a copy in \a epoch, with which leases may be lost, and stands for it again. */
+    auto storeRestored(StoreEpoch epoch) -> void;
 
     /** Gives up the leadership for good, so that another node can become the leader at once. */
     auto resign() -> void;
@@ -54,8 +54,15 @@
     [[nodiscard]] auto candidacyDelay() -> std::chrono::milliseconds;
     auto campaign() -> void;
     auto acquireKey(LeaseId, BootClock::time_point requestedAt) -> void;
-    auto resolveAcquisition(BootClock::time_point requestedAt) -> void;
-    auto becomeLeader(StoreRevision fence, BootClock::time_point requestedAt) -> void;
+    auto resolveAcquisition(StoreRevision replaced, BootClock::time_point requestedAt) -> void;
+    auto becomeLeader(StoreRevision fence, StoreRevision replaced, BootClock::time_point requestedAt) -> void;
+
+    /** Returns whether no other node can have led since this one did, when its key with the revision \a replaced, or none, was replaced. */
+    [[nodiscard]] auto isContinued(StoreRevision replaced) const -> bool;
+
+    /** Returns whether the store may have ended the lease of this node's last leadership. */
+    [[nodiscard]] auto isLeaseOver() const -> bool { return BootClock::now() >= this->leaseExpiry; }
+    auto leaseConfirmed(BootClock::time_point leaseStart) -> void;
     auto renew() -> void;
     auto stepDown(const char* reason) -> void;
 
@@ -79,6 +86,9 @@
     std::string incarnation; ///< Random text that distinguishes this process from earlier ones of the same node.
     StoreRevision previousKeyRevision = 0; ///< Revision of the key that an earlier process of this node left; 0 when there is none.
     LeaseId lease = 0;
+    BootClock::time_point leaseExpiry; ///< Time until which the store keeps the lease of the last leadership at least.
+    StoreRevision ownKey = 0; ///< Revision that this node's key has if no other node has led since; 0 when one has, or may have.
+    std::uint64_t coordinationFence = 0; ///< Fence of the first leadership since which no other node can have led.
     bool isCampaigning = false; ///< An attempt to acquire the key is in flight.
     bool hasResigned = false; ///< This node is stopping and does not lead any more.
     std::shared_ptr<bool> isAlive;
--- a/tests/gateway/test_restoredstore.cpp
+++ b/tests/gateway/test_restoredstore.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 using namespace Primrosefork;
@@ -24,10 +25,14 @@
 
 /** A node that leads, with a server, before a store that can be restored. */
 struct RestoredFixture : GatewayFixture {
-    explicit RestoredFixture(std::chrono::milliseconds revocation = revocationBound)
+    explicit RestoredFixture(std::chrono::milliseconds revocation = revocationBound, const std::optional<Address>& entrance = std::nullopt)
         : server(loop, { "127.0.0.1", firstPort }, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "hello") }; })
         , secondServer(loop, { "127.0.0.1", secondPort }, [](const std::string& request) -> ScriptedAnswer { return { GatewayFixture::answerTo(request, 200, "hello") }; })
     {
+        if (entrance) {
+            this->platform.addEntrance(*entrance);
+            this->settings.keyValueService = *entrance;
+        }
         this->settings.bounds.configuration = configurationBound;
         this->settings.bounds.revocation = revocation;
         this->configure(1);
@@ -35,6 +40,12 @@
         REQUIRE(this->startLeading());
     }
 
+    /** A node that reaches the store at \a entrance only. */
+    explicit RestoredFixture(const Address& entrance)
+        : RestoredFixture(longRevocationBound, entrance)
+    {
+    }
+
     auto startLeading() -> bool
     {
         return this->start() && this->runUntil([this] { return this->isLeading(); });
@@ -74,6 +85,56 @@
     int sent = 0;
 };
 
+enum class Trouble : std::uint8_t {
+    LeaseEnds,
+    OtherLeads, ///< Another node leads for a moment.
+    Restoration,
+    OtherLeadsUnseen, ///< Another node leads while this one is cut off, and the store comes back from a copy before that.
+};
+
+struct ContinuationCase {
+    const char* name;
+    Trouble trouble;
+    bool isContinued; ///< Whether the node knows that no other can have led.
+};
+
+const ContinuationCase continuationCases[] = {
+    { "the lease ends", Trouble::LeaseEnds, true },
+    { "another node leads meanwhile", Trouble::OtherLeads, false },
+    { "the store comes back from a copy while the lease holds", Trouble::Restoration, true },
+    { "the node was cut off before the restoration", Trouble::OtherLeadsUnseen, false },
+};
+
+// Guards against a leader that goes on with what it knew, although another node has led since.
+TEST_CASE("a leader knows whether another node can have led since it did")
+{
+    const Address entrance { "127.0.0.1", 18303 };
+    for (const auto& row : continuationCases) {
+        CAPTURE(row.name);
+        RestoredFixture fixture(entrance);
+        const auto before = fixture.node->board().leadership.value();
+        CHECK(before.coordinationFence == before.fence);
+        const auto backup = fixture.platform.backup();
+        if (row.trouble == Trouble::LeaseEnds)
+            fixture.platform.expireLeases();
+        if (row.trouble == Trouble::OtherLeads) {
+            fixture.platform.put("primrosefork/leader", R"({"id":"node-2","address":"127.0.0.1:18399","incarnation":"x"})");
+            REQUIRE(fixture.runUntil([&] { return !fixture.isLeading(); }, 1s));
+            fixture.platform.remove("primrosefork/leader");
+        }
+        if (row.trouble == Trouble::OtherLeadsUnseen) {
+            fixture.platform.treat(entrance, StoreStandIn::Treatment::Ignored);
+            fixture.runFor(3'500ms);
+            fixture.platform.treat(entrance, StoreStandIn::Treatment::Served);
+        }
+        if (row.trouble == Trouble::Restoration || row.trouble == Trouble::OtherLeadsUnseen)
+            fixture.platform.restore(backup);
+        REQUIRE(fixture.runUntil([&] { return fixture.isLeading() && fixture.node->board().leadership.value().fence > before.fence; }, 5s));
+        const auto after = fixture.node->board().leadership.value();
+        CHECK(after.coordinationFence == (row.isContinued ? before.fence : after.fence));
+    }
+}
+
 struct ReturnCase {
     const char* name;
     bool isChangeLost; ///< Whether the configuration was changed after the copy was made.
