Quotas: Opened the accounts anew when another node may have led

What callers could see: more units of a quota granted than it has (QUOTA). A leader that was cut off from the store went on with its accounts when it led again after a restoration, without what another leader had granted meanwhile.

Cause: the accounts were kept unless the node had seen another leader, and a node that is cut off sees none.

Why it works: the accounts belong to a coordination fence, which changes whenever another node can have led; the known way of a new leader then applies.

--- a/src/gateway/quotacontroller.cpp
+++ b/src/gateway/quotacontroller.cpp
@@ -136,9 +136,11 @@
 auto QuotaController::updateAccounts(const std::map<std::string, NodeRecord>& nodes, std::size_t recordedNodes) -> void
 {
     const auto now = EventLoop::now();
-    const auto current = this->board.leadership.value().fence;
-    // A node that leads again while no other did has kept the accounts all along.
-    const auto isContinued = !std::exchange(this->hasCeased, false) && this->ledger.isAnyOpen() && BootClock::now() - this->lastUpdate < accountsTimeout;
+    const auto& leadership = this->board.leadership.value();
+    const auto current = leadership.fence;
+    // A node that leads again while no other can have led has kept the accounts all along.
+    const auto isSameCoordination = std::exchange(this->coordinationFence, leadership.coordinationFence) == leadership.coordinationFence;
+    const auto isContinued = !std::exchange(this->hasCeased, false) && isSameCoordination && this->ledger.isAnyOpen() && BootClock::now() - this->lastUpdate < accountsTimeout;
     if (this->fence != current && isContinued)
         this->fence = current;
     if (this->fence != current) {
--- a/src/gateway/quotacontroller.h
+++ b/src/gateway/quotacontroller.h
@@ -96,6 +96,7 @@
     EventLoop::TimePoint leaderSince; ///< Time at which the current leader became known.
     EventLoop::TimePoint lastLeaderAnswer; ///< Time of the leader's last answer to a report or reply to a request, or at which it became known.
     std::uint64_t fence = 0; ///< Fence of the leadership under which the accounts were opened.
+    std::uint64_t coordinationFence = 0; ///< Fence with which the coordination began in which the accounts were opened.
     EventLoop::TimePoint leadingSince;
     std::size_t expectedNodes = 0; ///< Number of live nodes by the last leader's word, when this node took over.
     bool hasCeased = true; ///< Another node may have kept the accounts since this node's last update.
--- a/tests/gateway/test_quotas.cpp
+++ b/tests/gateway/test_quotas.cpp
@@ -40,7 +40,9 @@
 auto ownLeadership(BootClock::time_point validUntil = BootClock::now() + 1min) -> Leadership
 {
     const Address address { "127.0.0.1", 18'399 };
-    return { "leader", address, true, term, term, validUntil, address, true };
+    Leadership own { "leader", address, true, term, term, validUntil, address, true };
+    own.coordinationFence = term;
+    return own;
 }
 
 /** Returns the leadership as another node sees it. */
@@ -53,7 +55,9 @@
 /** Returns what a node that led publishes while no leader is known. */
 auto ownVacancy(BootClock::time_point coordinatesUntil) -> Leadership
 {
-    return { "", {}, false, 0, term, {}, { "127.0.0.1", 18'399 }, true, coordinatesUntil };
+    Leadership vacancy { "", {}, false, 0, term, {}, { "127.0.0.1", 18'399 }, true, coordinatesUntil };
+    vacancy.coordinationFence = term;
+    return vacancy;
 }
 
 /** The quota controller of one node with its board. */
@@ -229,6 +233,36 @@
     CHECK(granted < 15);
 }
 
+struct AgainCase {
+    const char* name;
+    std::uint64_t coordinationFence; ///< Fence with which the coordination began, after the node leads again.
+    bool isAccountKept;
+};
+
+const AgainCase againCases[] = {
+    { "no other node can have led", term, true },
+    { "another node may have led, unseen", term + 2, false },
+};
+
+// Guards against units that are granted twice, by a leader and by one that was cut off meanwhile and leads again.
+TEST_CASE("a leader that leads again keeps the accounts only if no other node can have led")
+{
+    for (const auto& row : againCases) {
+        CAPTURE(row.name);
+        LeaderAndNode fixture;
+        fixture.beginLeading();
+        fixture.leader.leadership.write(ownVacancy(BootClock::now() + 5s));
+        fixture.leader.quotas.updateAccounts(fixture.nodes, 1);
+        auto again = ownLeadership();
+        again.term = again.fence = term + 2;
+        again.coordinationFence = row.coordinationFence;
+        fixture.leader.leadership.write(again);
+        fixture.leader.quotas.updateAccounts(fixture.nodes, 1);
+        // An account that is opened anew has nothing until the nodes have told their use.
+        CHECK((fixture.leader.quotas.replyTo({ 4, "salon", largeRequest }).verdict == QuotaVerdict::Granted) == row.isAccountKept);
+    }
+}
+
 TEST_CASE("a leader that was paused grants only newly accrued units")
 {
     LeaderAndNode fixture;
