Limits: Gathered the limits of servers anew when another node may have led

What servers could see: more requests than the limit that they name (LIMIT). A leader that led again told nodes at once that it knew all limits, so they dropped those that they had told another leader meanwhile.

Cause: the ledger was cleared only when the node had seen that it no longer coordinated, which a node that is cut off does not see.

Evidence: test_coordinationchange, 'a leader that leads again gathers the limits of servers anew if another may have led': failed before, passes now, with test_serverlimits.

--- a/src/gateway/quarantinecontroller.h
+++ b/src/gateway/quarantinecontroller.h
@@ -40,6 +40,9 @@
     auto attemptBegan(const std::string& service, std::span<const PromptPart> parts, TimePoint now) -> void override;
     [[nodiscard]] auto quarantineLeft(const std::string& service, std::span<const PromptPart> parts, TimePoint now) const -> std::optional<std::chrono::milliseconds> override;
 
+    /** Notes that this node coordinates, with what it knows since it did with \a fence. */
+    auto coordinationBegan(std::uint64_t fence) -> void;
+
     /** Returns this node's evidence for the coordinator. */
     [[nodiscard]] auto makeReport(TimePoint now) -> std::vector<PromptEvidence>;
 
@@ -55,10 +58,10 @@
     /** Decides on this node's \a evidence alone, while no coordinator is known. */
     auto decideAlone(const std::string& nodeId, const std::vector<PromptEvidence>& evidence, TimePoint now) -> void;
 
-    /** Takes over the quarantined parts in the store's record, which \a entry holds. */
     /** Notes that the record in the store now has \a revision, 0 when it is lost, and may be an earlier one; it is written again. */
     auto recordRestored(StoreRevision revision) -> void;
 
+    /** Takes over the quarantined parts in the store's record, which \a entry holds. */
     auto applyRecord(const StoreEntry& entry, TimePoint now) -> void;
 
     /** Writes the quarantined parts to the store if they have changed. */
@@ -82,6 +85,7 @@
     const EventLog& log;
     Role role = Role::Member;
     TimePoint roleSince;
+    std::uint64_t coordinationFence = 0; ///< Fence with which this node's coordination began; 0 when it never did.
     TimePoint lastDecision;
     CrashEvidence evidence;
     PromptQuarantine decisions; ///< Used by the coordinator, and by a node that decides alone.
--- a/src/gateway/serverlimitcontroller.cpp
+++ b/src/gateway/serverlimitcontroller.cpp
@@ -38,12 +38,14 @@
 auto ServerLimitController::leadershipChanged(const Leadership& leadership) -> void
 {
     const auto now = BootClock::now();
-    if (leadership.isCoordinator && !this->isCoordinator) {
+    const auto isContinued = this->isCoordinator && leadership.coordinationFence == this->coordinationFence;
+    if (leadership.isCoordinator && !isContinued) {
         this->ledger.clear();
         this->nodes.clear();
         this->coordinatorSince = now;
     }
     this->isCoordinator = leadership.isCoordinator;
+    this->coordinationFence = leadership.coordinationFence;
     if (leadership.term == 0 || leadership.term == this->term)
         return;
     this->term = leadership.term;
--- a/src/gateway/serverlimitcontroller.h
+++ b/src/gateway/serverlimitcontroller.h
@@ -80,6 +80,7 @@
     std::map<std::string, double> totalPerSecond; ///< Requests of all nodes per second, by service.
     std::size_t liveNodes = 1;
     bool isCoordinator = false;
+    std::uint64_t coordinationFence = 0; ///< Fence with which this node's coordination began.
     BootClock::time_point coordinatorSince;
     std::uint64_t term = 0; ///< Term of the last known leader.
     BootClock::time_point leaderSince;
