Shared load: Gathered the load anew when another node may have led

What callers could see: work sent to zones that only seem free. A leader that led again took its account for complete although hardly any node had reported to it since.

Evidence: test_coordinationchange, 'a leader that leads again gathers the load anew if another may have led': failed before, passes now, with test_sharedload.

--- a/src/gateway/sharedloadcontroller.cpp
+++ b/src/gateway/sharedloadcontroller.cpp
@@ -43,9 +43,11 @@
 
 auto SharedLoadController::leadershipChanged(const Leadership& leadership) -> void
 {
-    if (leadership.isCoordinator && !this->isCoordinator)
+    const auto isContinued = this->isCoordinator && leadership.coordinationFence == this->coordinationFence;
+    if (leadership.isCoordinator && !isContinued)
         this->loadAccount.begin(EventLoop::now());
     this->isCoordinator = leadership.isCoordinator;
+    this->coordinationFence = leadership.coordinationFence;
 }
 
 auto SharedLoadController::addToReport(NodeReport& report, std::vector<BackendLoad> loads) -> void
--- a/src/gateway/sharedloadcontroller.h
+++ b/src/gateway/sharedloadcontroller.h
@@ -65,6 +65,7 @@
     LoadAccount loadAccount;
     std::vector<CallerDemand> demand; ///< In the last report of this node.
     bool isCoordinator = false;
+    std::uint64_t coordinationFence = 0; ///< Fence with which this node's coordination began.
     bool hasChangedServers = true; ///< The registered servers changed since the last update of the account.
     bool hasView = false; ///< The view was in use at the last check.
 };
