Quarantine: Gathered the quarantined parts anew when another node may have led

What servers could see: requests with a part that crashes them, which had been quarantined already (BUDGET). A leader that led again answered at once that it knew all quarantines, and nodes dropped those that another leader had decided.

Cause: the role of the coordinator began anew only after an answer of another one, which a node that is cut off from the store never gets, as it takes itself for the coordinator all the while.

Evidence: test_coordinationchange, 'a leader that leads again gathers the quarantined parts anew if another may have led': 2 checks failed before, pass now, with test_quarantine.

--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -216,6 +216,8 @@
 
 auto CoordinationController::leadershipChanged(const Leadership& leadership) -> void
 {
+    if (leadership.isCoordinator)
+        this->quarantines.coordinationBegan(leadership.coordinationFence);
     if (leadership.term == 0 || leadership.term == this->term)
         return;
     this->term = leadership.term;
--- a/src/gateway/quarantinecontroller.cpp
+++ b/src/gateway/quarantinecontroller.cpp
@@ -109,6 +109,13 @@
         this->decisions.adopt(key.first, { { key.second, std::chrono::ceil<std::chrono::milliseconds>(until - now) } }, now);
 }
 
+auto QuarantineController::coordinationBegan(std::uint64_t fence) -> void
+{
+    // Another node may have coordinated since: the role begins anew with the next report.
+    if (std::exchange(this->coordinationFence, fence) != fence)
+        this->role = Role::Member;
+}
+
 auto QuarantineController::reportReceived(const std::string& nodeId, const std::vector<PromptEvidence>& evidence, TimePoint now) -> void
 {
     this->takeRole(Role::Coordinator, now);
