Usage: Reported windows across a restoration when no other node can have led

What customers saw: windows without usage after a restoration of the store, although the leader had led all the while.

Cause: after a restoration the leader closes windows that others may have stored in what is lost. When no other node can have led there are none.

Why it works: windows are closed up to the beginning of the coordination, which names the first leadership since which no other node can have led.

--- a/src/gateway/usagecontroller.cpp
+++ b/src/gateway/usagecontroller.cpp
@@ -73,7 +73,8 @@
     if (!current.isOwn || current.fence == this->fence)
         return;
     this->fence = current.fence;
-    this->leadingSince = BootClock::now();
+    if (std::exchange(this->coordinationFence, current.coordinationFence) != current.coordinationFence)
+        this->leadingSince = BootClock::now();
     this->record.release();
     this->isStoring = false;
     this->isFetching = false;
--- a/src/gateway/usagecontroller.h
+++ b/src/gateway/usagecontroller.h
@@ -62,6 +62,7 @@
     UsageRecord record;
     StoreRevision revision = 0; ///< Revision of the stored record; 0 when there is none.
     std::uint64_t fence = 0; ///< Fence of this node's last leadership.
+    std::uint64_t coordinationFence = 0; ///< Fence of the first leadership since which no other node can have led.
     BootClock::time_point leadingSince; ///< Time at which that began.
     std::set<UsageWindow> reported; ///< Windows whose report was accepted.
     std::set<UsageWindow> inFlight; ///< Windows whose report has not been answered yet.
--- a/tests/gateway/test_usagerestorations.cpp
+++ b/tests/gateway/test_usagerestorations.cpp
@@ -152,12 +152,14 @@
 struct KeptCase {
     const char* name;
     Outcome outcome; ///< What happens to the writes of usage for a while.
+    int restorations; ///< Restorations after that, with which nothing is lost.
 };
 
 const KeptCase keptCases[] = {
-    { "writes are lost", Outcome::Lost },
-    { "answers are lost", Outcome::AnswerLost },
-    { "writes are late", Outcome::Late },
+    { "writes are lost", Outcome::Lost, 0 },
+    { "answers are lost", Outcome::AnswerLost, 0 },
+    { "writes are late", Outcome::Late, 0 },
+    { "the store comes back from copies while the node leads", Outcome::Answered, 3 },
 };
 
 // Guards against windows that are given up although their counts are certain.
@@ -173,6 +175,10 @@
         fixture.serveFor(1'500ms);
         fixture.platform.writeOutcomes.clear();
         fixture.platform.carryOutLateWrites();
+        for (int count = 0; count < row.restorations; ++count) {
+            fixture.platform.restore(fixture.platform.backup());
+            fixture.serveFor(700ms);
+        }
         const auto last = fixture.presentWindow();
         fixture.serveUntilReported(last);
         const auto reports = fixture.reports();
