--- a/tests/gateway/test_usagerestorations.cpp
+++ b/tests/gateway/test_usagerestorations.cpp
@@ -138,11 +138,11 @@
         }
         fixture.serveUntilReported(back + 2);
         const auto reports = fixture.reports();
-        for (const auto& [window, counts] : reports) {
-            CAPTURE(window);
-            CHECK(counts.size() == 1);
-            if (fixture.reportedElsewhere.contains(window))
-                CHECK(*counts.begin() == otherCount);
+        for (const auto& report : reports) {
+            CAPTURE(report.first);
+            CHECK(report.second.size() == 1);
+            if (fixture.reportedElsewhere.contains(report.first))
+                CHECK(*report.second.begin() == otherCount);
         }
         // What has ended since is reported as ever.
         CHECK(reports.contains(back + 1));
--- a/tests/traffic/test_usagerecord.cpp
+++ b/tests/traffic/test_usagerecord.cpp
@@ -266,9 +266,9 @@
         CAPTURE(seed);
         RandomHistory history(seed);
         history.run();
-        for (const auto& [window, different] : history.reports) {
-            CAPTURE(window);
-            REQUIRE(different.size() == 1);
+        for (const auto& report : history.reports) {
+            CAPTURE(report.first);
+            REQUIRE(report.second.size() == 1);
         }
         const auto [first, last] = history.calmWindows();
         for (auto window = first; window <= last; ++window) {
