Usage: Wrote the record again as soon as it is from an earlier epoch

Change: a leader that reads a record of an earlier epoch writes it again at once, with the windows that are closed, and the time for clocks is a quarter of a second.

--- a/src/gateway/usagecontroller.cpp
+++ b/src/gateway/usagecontroller.cpp
@@ -18,7 +18,7 @@
 constexpr auto usageKey = "primrosefork/usage";
 constexpr std::chrono::milliseconds tickPeriod = 500ms;
 constexpr std::chrono::milliseconds reportDelay = 1'700ms; ///< Time after the end of a window in which each node sends two reports and they arrive.
-constexpr std::chrono::milliseconds maxClockDifference = 500ms; ///< Largest difference of two nodes' clocks that is expected.
+constexpr std::chrono::milliseconds maxClockDifference = 250ms; ///< Largest difference of two nodes' clocks that is expected.
 constexpr UsageWindow dueWindows = 6; ///< Number of windows that are looked at; older ones are no longer due.
 constexpr std::size_t keptReported = 12;
 
@@ -86,6 +86,8 @@
         return this->record.release();
     if (!this->record.isRead())
         return this->fetchRecord();
+    if (this->record.isOutdated())
+        this->renewRecord();
     const auto now = this->clock.at(EventLoop::now());
     for (auto window = this->windowAt(now) - dueWindows; window < this->windowAt(now); ++window) {
         if (!this->isDue(window, now) || this->reported.contains(window))
@@ -116,6 +118,8 @@
     const auto epoch = entry ? epochOf(entry->revision) : this->store.currentEpoch();
     for (const auto& name : this->record.read(entry ? std::optional(entry->value) : std::nullopt, epoch, this->lastStorable(this->leadingSince)))
         this->log.write(Event::UsageRecordUnreadable, { { "window", name } });
+    if (this->record.isOutdated())
+        this->renewRecord();
     if (this->record.closedUpTo() > 0)
         this->log.write(Event::UsageWindowsClosed, { { "window", std::to_string(this->record.closedUpTo()) }, { "epoch", std::to_string(epoch) }, { "fence", std::to_string(this->fence) } });
 }
@@ -147,12 +151,24 @@
 
 auto UsageController::storeWindow(UsageWindow window) -> void
 {
-    if (this->isStoring)
+    this->write(this->record.propose(window, this->sumCounts(window)), [this, window] {
+        this->log.write(Event::UsageStored, { { "window", std::to_string(window) }, { "fence", std::to_string(this->fence) } });
+        if (this->hasValidLease())
+            this->reportWindow(window);
+    });
+}
+
+auto UsageController::renewRecord() -> void
+{
+    this->write(this->record.renewed(), [] {});
+}
+
+auto UsageController::write(UsageRecord::Proposal proposal, std::function<void()> onWritten) -> void
+{
+    if (std::exchange(this->isStoring, true))
         return;
-    this->isStoring = true;
-    auto proposal = this->record.propose(window, this->sumCounts(window));
     const StoreSwap swap { usageKey, this->revision, proposal.text, 0 };
-    this->store.compareAndSwap(swap, [this, window, proposal = std::move(proposal), usedFence = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
+    this->store.compareAndSwap(swap, [this, proposal = std::move(proposal), onWritten = std::move(onWritten), usedFence = this->fence, alive = this->isAlive](std::error_code error, const StoreSwapResult& result) {
         if (!*alive || usedFence != this->fence)
             return;
         this->isStoring = false;
@@ -161,9 +177,7 @@
             return this->record.release();
         this->revision = result.current.revision;
         this->record.acknowledge(proposal);
-        this->log.write(Event::UsageStored, { { "window", std::to_string(window) }, { "fence", std::to_string(usedFence) } });
-        if (this->hasValidLease())
-            this->reportWindow(window);
+        onWritten();
     });
 }
 
--- a/src/gateway/usagecontroller.h
+++ b/src/gateway/usagecontroller.h
@@ -9,6 +9,7 @@
 #include "usagerecord.h"
 #include "wallclock.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -40,6 +41,8 @@
     auto fetchRecord() -> void;
     auto readRecord(const std::optional<StoreEntry>&) -> void;
     auto storeWindow(UsageWindow window) -> void;
+    auto renewRecord() -> void;
+    auto write(UsageRecord::Proposal proposal, std::function<void()> onWritten) -> void;
     auto reportWindow(UsageWindow window) -> void;
     [[nodiscard]] auto sumCounts(UsageWindow window) const -> UsageCounts;
     [[nodiscard]] auto hasValidLease() const -> bool;
--- a/src/traffic/usagerecord.cpp
+++ b/src/traffic/usagerecord.cpp
@@ -71,7 +71,8 @@
                 unreadable.push_back(name);
         }
     }
-    if (writtenIn < readEpoch) {
+    this->outdated = writtenIn < readEpoch;
+    if (this->outdated) {
         this->closed = std::max(this->closed, lastBefore);
         if (!this->windows.empty())
             this->windows.erase(std::prev(this->windows.end()));
@@ -89,6 +90,7 @@
 auto UsageRecord::acknowledge(const Proposal& proposal) -> void
 {
     this->windows = proposal.windows;
+    this->outdated = false;
     this->keepCertain(proposal.windows);
 }
 
@@ -97,6 +99,7 @@
     this->windows.clear();
     this->closed = 0;
     this->hasRecord = false;
+    this->outdated = false;
 }
 
 auto UsageRecord::countsOf(UsageWindow window) const -> const UsageCounts*
@@ -116,10 +119,21 @@
 
 auto UsageRecord::propose(UsageWindow window, const UsageCounts& counts) const -> Proposal
 {
-    Proposal proposal { this->windows, {} };
+    auto proposed = this->windows;
     const auto known = this->certain.find(window);
-    proposal.windows[window] = known != this->certain.end() ? known->second : counts;
-    dropOldest(proposal.windows, keptWindows);
+    proposed[window] = known != this->certain.end() ? known->second : counts;
+    dropOldest(proposed, keptWindows);
+    return this->encode(std::move(proposed));
+}
+
+auto UsageRecord::renewed() const -> Proposal
+{
+    return this->encode(this->windows);
+}
+
+auto UsageRecord::encode(std::map<UsageWindow, UsageCounts> proposed) const -> Proposal
+{
+    Proposal proposal { std::move(proposed), {} };
     auto json = Json::object();
     for (const auto& [number, entry] : proposal.windows)
         json[std::to_string(number)] = entry;
--- a/src/traffic/usagerecord.h
+++ b/src/traffic/usagerecord.h
@@ -58,10 +58,17 @@
     /** Returns the last window up to which no new counts are stored, since others may have been. */
     [[nodiscard]] auto closedUpTo() const -> UsageWindow { return this->closed; }
 
+    /** Returns whether the record is from an earlier epoch of the store, or lost with one. */
+    [[nodiscard]] auto isOutdated() const -> bool { return this->outdated; }
+
+    /** Returns the record as it is to be written in this epoch, so that later leaders know up to which window it is closed. */
+    [[nodiscard]] auto renewed() const -> Proposal;
+
     /** Returns the number of windows in the record. */
     [[nodiscard]] auto size() const -> std::size_t { return this->windows.size(); }
 
 private:
+    [[nodiscard]] auto encode(std::map<UsageWindow, UsageCounts> proposed) const -> Proposal;
     auto keepCertain(const std::map<UsageWindow, UsageCounts>& acknowledged) -> void;
 
     std::map<UsageWindow, UsageCounts> windows; ///< Windows in the record that are certain.
@@ -69,6 +76,7 @@
     UsageWindow closed = 0;
     std::uint64_t epoch = 0; ///< Epoch of the store in which the record was read.
     bool hasRecord = false;
+    bool outdated = false;
 };
 
 } // namespace Primrosefork
--- a/tests/traffic/test_usagerecord.cpp
+++ b/tests/traffic/test_usagerecord.cpp
@@ -77,6 +77,28 @@
     CHECK(record.propose(10, counts(3)).windows.at(10) == counts(2));
 }
 
+// Guards against windows that each later leader closes anew, although only the first one of an epoch has to.
+TEST_CASE("a record of an earlier epoch is written again with the windows that are closed")
+{
+    UsageRecord first;
+    first.read(R"({"10":{"salon":1},"11":{"salon":2},"epoch":0,"closed":9})", 1, 12);
+    REQUIRE(first.isOutdated());
+    const auto renewed = first.renewed();
+    first.acknowledge(renewed);
+    CHECK_FALSE(first.isOutdated());
+    UsageRecord next;
+    next.read(renewed.text, 1, 14);
+    CHECK_FALSE(next.isOutdated());
+    CHECK(next.countsOf(10) != nullptr);
+    CHECK(next.countsOf(11) == nullptr);
+    CHECK_FALSE(next.mayStore(12));
+    CHECK(next.mayStore(13));
+    next.release();
+    next.read(renewed.text, 2, 14);
+    CHECK(next.isOutdated());
+    CHECK_FALSE(next.mayStore(13));
+}
+
 /**
  * A store of one record, and nodes that lead in turn, with all that can go wrong:
  * answers and writes that are lost or late, cuts, pauses, restarts and copies.
@@ -206,6 +228,10 @@
             node.record.read(this->text, this->epoch, node.lastBefore);
             return;
         }
+        if (node.record.isOutdated() && !this->chance(40)) {
+            this->write(node, node.record.renewed());
+            return;
+        }
         for (auto window = this->present - node.lag - 3; window <= this->present - node.lag; ++window) {
             if (const auto* known = node.record.countsOf(window))
                 this->reports[window].insert(*known);
@@ -216,7 +242,13 @@
 
     auto store(Node& node, UsageWindow window) -> void
     {
-        const auto proposal = node.record.propose(window, counts(++this->lastCount));
+        this->write(node, node.record.propose(window, counts(++this->lastCount)));
+        if (const auto* known = node.record.countsOf(window); known && !this->chance(20))
+            this->reports[window].insert(*known);
+    }
+
+    auto write(Node& node, const UsageRecord::Proposal& proposal) -> void
+    {
         const Write write { proposal.text, node.number };
         const auto sentIn = node.epoch;
         if (this->chance(25)) {
@@ -231,8 +263,6 @@
             return node.record.release();
         node.number = this->number;
         node.record.acknowledge(proposal);
-        if (const auto* known = node.record.countsOf(window); known && !this->chance(20))
-            this->reports[window].insert(*known);
     }
 
     auto carryOut(const Write& write) -> bool
