--- a/src/gateway/coordinationcontroller.cpp
+++ b/src/gateway/coordinationcontroller.cpp
@@ -356,8 +356,7 @@
 auto CoordinationController::countLiveNodes() const -> std::size_t
 {
     const auto now = EventLoop::now();
-    return static_cast<std::size_t>(
-        std::count_if(this->nodeRecords.begin(), this->nodeRecords.end(), [now](const auto& entry) { return now - entry.second.receivedAt < nodeTimeout; }));
+    return static_cast<std::size_t>(std::count_if(this->nodeRecords.begin(), this->nodeRecords.end(), [now](const auto& entry) { return now - entry.second.receivedAt < nodeTimeout; }));
 }
 
 auto CoordinationController::answerFor(const std::string& nodeId, std::uint32_t reportSequence) -> FleetAnswer
